--- /dev/null
+++ b/pkg/chat/chat.go
@@ -0,0 +1,195 @@
+package chat
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Values of Error.Ran: whether the refused request ran.
+const (
+	RanNo      = "no"
+	RanYes     = "yes"
+	RanUnknown = "unknown"
+)
+
+// Reasons why a generation ended, as OpenAI names them.
+const (
+	FinishStop   = "stop"
+	FinishLength = "length"
+)
+
+const (
+	// DefaultMaxTokens is the output bound of a request that states none, in tokens.
+	DefaultMaxTokens = 256
+	// MaxMaxTokens is the largest output bound that a request may state, in tokens.
+	MaxMaxTokens = 32768
+	// MaxMessages is the largest number of messages in one request.
+	MaxMessages = 1024
+)
+
+type (
+	// Content is a message's text, decoded from a string or from a list of text parts.
+	Content string
+
+	// Message is one turn of a conversation.
+	Message struct {
+		Role    string  `json:"role,omitempty"`
+		Content Content `json:"content"`
+	}
+
+	// StreamOptions holds the options of a streamed answer.
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage,omitempty"`
+	}
+
+	// Request is a chat or text completion request.
+	Request struct {
+		Model         string         `json:"model"`
+		Messages      []Message      `json:"messages,omitempty"`
+		Prompt        Content        `json:"prompt,omitempty"`
+		MaxTokens     int            `json:"max_tokens,omitempty"`
+		MaxCompletion int            `json:"max_completion_tokens,omitempty"`
+		Stream        bool           `json:"stream,omitempty"`
+		Options       *StreamOptions `json:"stream_options,omitempty"`
+	}
+
+	// Usage counts the tokens of one request.
+	Usage struct {
+		PromptTokens     int `json:"prompt_tokens"`
+		CompletionTokens int `json:"completion_tokens"`
+		TotalTokens      int `json:"total_tokens"`
+	}
+
+	// Choice is one answer, whole (Message or Text) or in part (Delta or Text).
+	Choice struct {
+		Index        int      `json:"index"`
+		Message      *Message `json:"message,omitempty"`
+		Delta        *Message `json:"delta,omitempty"`
+		Text         *string  `json:"text,omitempty"`
+		FinishReason *string  `json:"finish_reason"`
+	}
+
+	// Answer is a whole completion or one chunk of a streamed one.
+	Answer struct {
+		ID      string   `json:"id"`
+		Object  string   `json:"object"`
+		Created int64    `json:"created"`
+		Model   string   `json:"model"`
+		Choices []Choice `json:"choices"`
+		Usage   *Usage   `json:"usage,omitempty"`
+	}
+
+	// Model is one entry of the list of models.
+	Model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+
+	// Models is the list of models.
+	Models struct {
+		Object string  `json:"object"`
+		Data   []Model `json:"data"`
+	}
+
+	// Error is the error object, with whether the request ran and when to come back (seconds).
+	Error struct {
+		Message string `json:"message"`
+		Type    string `json:"type"`
+		Code    string `json:"code"`
+		Ran     string `json:"ran"`
+		Retry   int    `json:"retry,omitempty"`
+	}
+
+	// Failure is the body of an error answer.
+	Failure struct {
+		Error Error `json:"error"`
+	}
+)
+
+// UnmarshalJSON decodes a string or a list of text parts; other kinds of part are an error.
+func (c *Content) UnmarshalJSON(data []byte) error {
+	var s string
+	if json.Unmarshal(data, &s) == nil {
+		*c = Content(s)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return errors.New("content must be a string or a list of text parts")
+	}
+	var b strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return fmt.Errorf("content part of type %q is not supported", p.Type)
+		}
+		b.WriteString(p.Text)
+	}
+	*c = Content(b.String())
+	return nil
+}
+
+// Decode decodes and checks a request; chat tells whether messages or a prompt must be there.
+func Decode(body []byte, chat bool) (Request, error) {
+	var r Request
+	if err := json.Unmarshal(body, &r); err != nil {
+		return r, fmt.Errorf("malformed JSON: %w", err)
+	}
+	return r, r.check(chat)
+}
+
+func (r *Request) check(chat bool) error {
+	switch {
+	case r.Model == "":
+		return errors.New("model is missing")
+	case chat && len(r.Messages) == 0:
+		return errors.New("messages is missing or empty")
+	case len(r.Messages) > MaxMessages:
+		return fmt.Errorf("messages holds more than %d entries", MaxMessages)
+	case !chat && r.Prompt == "":
+		return errors.New("prompt is missing or empty")
+	case r.MaxTokens < 0 || r.MaxCompletion < 0:
+		return errors.New("max_tokens is negative")
+	case r.Bound() > MaxMaxTokens:
+		return fmt.Errorf("max_tokens is above %d", MaxMaxTokens)
+	}
+	return nil
+}
+
+// Bound returns the largest number of tokens that the request allows as output.
+func (r *Request) Bound() int {
+	switch {
+	case r.MaxCompletion > 0:
+		return r.MaxCompletion
+	case r.MaxTokens > 0:
+		return r.MaxTokens
+	}
+	return DefaultMaxTokens
+}
+
+// Text returns the whole input as one text, for sizing and prefix hashing.
+func (r *Request) Text() string {
+	if len(r.Messages) == 0 {
+		return string(r.Prompt)
+	}
+	var b strings.Builder
+	for _, m := range r.Messages {
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(string(m.Content))
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// Tokens estimates the number of tokens in a text at four bytes a token.
+func Tokens(text string) int {
+	const bytesPerToken = 4
+	return (len(text) + bytesPerToken - 1) / bytesPerToken
+}
--- /dev/null
+++ b/pkg/chat/doc.go
@@ -0,0 +1,2 @@
+// Package chat holds the OpenAI-compatible wire types that callers, the router and engines exchange.
+package chat
