--- /dev/null
+++ b/internal/conf/conf.go
@@ -0,0 +1,136 @@
+package conf
+
+import (
+	"bytes"
+	_ "embed"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Sample is the commented settings file that ships with the program.
+//
+//go:embed sample.toml
+var Sample []byte
+
+type (
+	// Conf is the whole settings file of one instance.
+	Conf struct {
+		Instance Instance `toml:"instance"`
+		Listen   Listen   `toml:"listen"`
+		Peers    Peers    `toml:"peers"`
+		Keys     Keys     `toml:"keys"`
+		Limits   Limits   `toml:"limits"`
+		Fresh    Fresh    `toml:"fresh"`
+		Sched    Sched    `toml:"sched"`
+		Log      Log      `toml:"log"`
+	}
+
+	// Problem is one fault of a settings file, with its place.
+	Problem struct {
+		File   string
+		Line   int
+		Key    string
+		Reason string
+	}
+
+	// section is a part of the settings that checks itself; its problems name keys within it.
+	section interface {
+		check() (key string, err error)
+	}
+)
+
+// Error returns the place, the key and the reason on one line.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Key, p.Reason)
+}
+
+// Default returns the settings that hold where a file says nothing.
+func Default() Conf {
+	return Conf{
+		Limits: defaultLimits(),
+		Fresh:  defaultFresh(),
+		Sched:  defaultSched(),
+		Log:    Log{Level: "info"},
+	}
+}
+
+// Load reads and checks a settings file; a fault in its text is a *Problem.
+func Load(file string) (Conf, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Conf{}, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(file, text)
+}
+
+// Parse decodes and checks the text of a settings file; a fault is a *Problem.
+func Parse(file string, text []byte) (Conf, error) {
+	c := Default()
+	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		return c, place(file, err)
+	}
+	if p := c.check(); p != nil {
+		p.File = file
+		p.Line = lineOf(string(text), p.Key)
+		return c, p
+	}
+	return c, nil
+}
+
+func (c *Conf) check() *Problem {
+	parts := []struct {
+		name string
+		sec  section
+	}{
+		{"instance", &c.Instance}, {"listen", &c.Listen}, {"peers", &c.Peers}, {"keys", &c.Keys},
+		{"limits", &c.Limits}, {"fresh", &c.Fresh}, {"sched", &c.Sched}, {"log", &c.Log},
+	}
+	for _, p := range parts {
+		if key, err := p.sec.check(); err != nil {
+			return &Problem{Key: p.name + "." + key, Reason: err.Error()}
+		}
+	}
+	return nil
+}
+
+// place turns a decoder's error into a problem with its line and key.
+func place(file string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		line, _ := strict.Errors[0].Position()
+		return &Problem{File: file, Line: line, Key: strings.Join(strict.Errors[0].Key(), "."), Reason: "unknown key"}
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		line, _ := bad.Position()
+		reason := strings.TrimPrefix(bad.Error(), "toml: ")
+		return &Problem{File: file, Line: line, Key: strings.Join(bad.Key(), "."), Reason: reason}
+	}
+	return &Problem{File: file, Line: 1, Reason: err.Error()}
+}
+
+// lineOf returns the line on which a dotted key stands, else that of its section, else 1.
+func lineOf(text, key string) int {
+	table, name, _ := strings.Cut(key, ".")
+	at, found := 1, false
+	for i, l := range strings.Split(text, "\n") {
+		l = strings.TrimSpace(l)
+		if strings.HasPrefix(l, "[") {
+			found = l == "["+table+"]"
+			if found {
+				at = i + 1
+			}
+			continue
+		}
+		head, _, _ := strings.Cut(l, "=")
+		if found && strings.TrimSpace(head) == name {
+			return i + 1
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/internal/conf/limits.go
@@ -0,0 +1,47 @@
+package conf
+
+import (
+	"errors"
+	"time"
+)
+
+const (
+	minSize = 1 << 10
+	maxSize = 64 << 20
+)
+
+// Limits bounds what callers may send and how long silence is borne.
+type Limits struct {
+	Body   Size     `toml:"body"`
+	Header Size     `toml:"header"`
+	First  Duration `toml:"first"`
+	Gap    Duration `toml:"gap"`
+	Call   Duration `toml:"call"`
+	Drain  Duration `toml:"drain"`
+}
+
+func defaultLimits() Limits {
+	return Limits{
+		Body:   4 << 20,
+		Header: 16 << 10,
+		First:  Duration(20 * time.Second),
+		Gap:    Duration(2 * time.Second),
+		Call:   Duration(30 * time.Second),
+	}
+}
+
+func (l *Limits) check() (string, error) {
+	switch {
+	case l.Body < minSize || l.Body > maxSize:
+		return "body", errors.New("must be 1KiB to 64MiB")
+	case l.Header < minSize || l.Header > maxSize:
+		return "header", errors.New("must be 1KiB to 64MiB")
+	case l.First == 0:
+		return "first", errors.New("must be above 0s")
+	case l.Gap == 0:
+		return "gap", errors.New("must be above 0s")
+	case l.Call == 0:
+		return "call", errors.New("must be above 0s")
+	}
+	return "", nil
+}
--- /dev/null
+++ b/internal/conf/log.go
@@ -0,0 +1,19 @@
+package conf
+
+import (
+	"fmt"
+
+	"go.uber.org/zap/zapcore"
+)
+
+// Log sets what is logged.
+type Log struct {
+	Level string `toml:"level"`
+}
+
+func (l *Log) check() (string, error) {
+	if _, err := zapcore.ParseLevel(l.Level); err != nil {
+		return "level", fmt.Errorf("%q is not debug, info, warn or error", l.Level)
+	}
+	return "", nil
+}
--- /dev/null
+++ b/internal/conf/sched.go
@@ -0,0 +1,39 @@
+package conf
+
+import (
+	"errors"
+	"time"
+)
+
+const maxQueue = 1_000_000
+
+// Sched sets how a cell's scheduler queues and spreads its requests.
+type Sched struct {
+	Queue  int      `toml:"queue"`
+	Gap    Duration `toml:"gap"`
+	First  Duration `toml:"first"`
+	Settle Duration `toml:"settle"`
+}
+
+func defaultSched() Sched {
+	return Sched{
+		Queue:  20_000,
+		Gap:    Duration(36 * time.Millisecond),
+		First:  Duration(680 * time.Millisecond),
+		Settle: Duration(500 * time.Millisecond),
+	}
+}
+
+func (s *Sched) check() (string, error) {
+	switch {
+	case s.Queue < 1 || s.Queue > maxQueue:
+		return "queue", errors.New("must be 1 to 1000000 requests")
+	case s.Gap == 0:
+		return "gap", errors.New("must be above 0s")
+	case s.First == 0:
+		return "first", errors.New("must be above 0s")
+	case s.Settle.Std() > 2*time.Second:
+		return "settle", errors.New("must be at most 2s")
+	}
+	return "", nil
+}
--- /dev/null
+++ b/internal/contr/doc.go
@@ -0,0 +1,2 @@
+// Package contr holds the contract of a customer: the aggregate from which every limit follows.
+package contr
