--- /dev/null
+++ b/internal/group/group.go
@@ -0,0 +1,370 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/fault"
+	"github.com/greengagewheel/greengagewheel/internal/peer"
+	"github.com/greengagewheel/greengagewheel/internal/repl"
+	"github.com/greengagewheel/greengagewheel/internal/store"
+)
+
+const (
+	tick        = 20 * time.Millisecond
+	inbox       = 4096
+	outbox      = 256
+	sendTimeout = 2 * time.Second
+	// snapEvery is the number of entries after which the log is compacted.
+	snapEvery = 8192
+	// snapTail is the number of compacted entries kept for slow replicas.
+	snapTail = 1024
+)
+
+var (
+	// ErrLost tells that a proposed command was overtaken and is not in the log.
+	ErrLost = errors.New("command was overtaken by a new leader")
+	// ErrStopped tells that the replica has stopped.
+	ErrStopped = errors.New("replica has stopped")
+)
+
+type (
+	// Machine is the state that the log's commands change.
+	Machine interface {
+		Apply(index uint64, data []byte) any
+		Snapshot() ([]byte, error)
+		Restore(data []byte) error
+	}
+
+	// Options holds what a replica needs.
+	Options struct {
+		Name    string
+		Dir     string
+		Self    netip.AddrPort
+		Peers   []repl.Member
+		Links   *peer.Links
+		Machine Machine
+		Log     *zap.Logger
+		Seed    uint64
+	}
+
+	// Group is one running replica.
+	Group struct {
+		opt     Options
+		store   *store.Store
+		msgs    chan repl.Msg
+		work    chan func(now time.Time)
+		done    chan struct{}
+		mu      sync.RWMutex
+		core    *repl.Core
+		status  repl.Status
+		leader  repl.Member
+		applied uint64
+		snapAt  uint64
+		waiting map[uint64]waiter
+		reads   map[uint64]readWaiter
+		sending map[string]chan repl.Msg
+		met     map[string]repl.Member
+		wg      conc.WaitGroup
+		ctx     context.Context
+	}
+
+	waiter struct {
+		term uint64
+		to   chan result
+	}
+
+	readWaiter struct {
+		at time.Time
+		to chan readResult
+	}
+
+	result struct {
+		value any
+		err   error
+	}
+
+	readResult struct {
+		at  time.Time
+		err error
+	}
+)
+
+// New opens the data folder and returns a replica that Run starts.
+func New(opt Options, now time.Time) (*Group, error) {
+	st, stored, wiped, err := store.Open(opt.Dir)
+	if err != nil {
+		return nil, fault.At("open data folder", opt.Dir, err)
+	}
+	g := &Group{
+		opt: opt, store: st, msgs: make(chan repl.Msg, inbox), work: make(chan func(time.Time), inbox),
+		done: make(chan struct{}), waiting: map[uint64]waiter{}, reads: map[uint64]readWaiter{},
+		sending: map[string]chan repl.Msg{}, met: map[string]repl.Member{},
+	}
+	ident := st.Identity()
+	if wiped {
+		opt.Log.Error("log damaged; the folder was emptied and joins anew", zap.String("id", ident.ID))
+	}
+	if ident.Cluster != "" {
+		if err := g.start(stored, now); err != nil {
+			return nil, err
+		}
+	}
+	return g, nil
+}
+
+// start makes the core from what was stored.
+func (g *Group) start(stored repl.Stored, now time.Time) error {
+	if len(stored.Snap.Data) > 0 {
+		if err := g.opt.Machine.Restore(stored.Snap.Data); err != nil {
+			return fault.At("restore snapshot", g.opt.Dir, err)
+		}
+	}
+	g.applied, g.snapAt = stored.Snap.Index, stored.Snap.Index
+	rng := rand.New(rand.NewPCG(g.opt.Seed, uint64(now.UnixNano())))
+	g.core = repl.New(g.store.Identity().ID, stored, rng, now)
+	g.publish()
+	return nil
+}
+
+// Run works until the context ends; it must be called once.
+func (g *Group) Run(ctx context.Context) {
+	g.ctx = ctx
+	defer close(g.done)
+	defer g.wg.Wait()
+	g.wg.Go(func() { g.enroll(ctx) })
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			g.failAll(ErrStopped)
+			_ = g.store.Close()
+			return
+		case m := <-g.msgs:
+			g.step(m)
+		case f := <-g.work:
+			f(time.Now())
+		case <-t.C:
+		}
+		g.drain()
+		if g.core == nil {
+			continue
+		}
+		g.core.Tick(time.Now())
+		g.core.Flush()
+		if err := g.flush(); err != nil {
+			g.opt.Log.Error("replica stops: storage failed", zap.Error(err))
+			g.failAll(err)
+			return
+		}
+	}
+}
+
+// drain takes in all that waits, so that one sync serves it.
+func (g *Group) drain() {
+	for range inbox {
+		select {
+		case m := <-g.msgs:
+			g.step(m)
+		case f := <-g.work:
+			f(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (g *Group) step(m repl.Msg) {
+	if g.core != nil {
+		g.core.Step(time.Now(), m)
+	}
+}
+
+// flush stores, sends and applies what the core put out, in this order.
+func (g *Group) flush() error {
+	out := g.core.Take()
+	if err := g.store.Save(out); err != nil {
+		return err
+	}
+	g.post(out.Msgs)
+	if out.Snap != nil {
+		if err := g.opt.Machine.Restore(out.Snap.Data); err != nil {
+			return fault.At("restore snapshot", "", err)
+		}
+		g.applied, g.snapAt = out.Snap.Index, out.Snap.Index
+	}
+	g.apply(out.Commit)
+	g.answerReads(out.Reads)
+	if !g.core.Leading() {
+		g.failReads()
+	}
+	g.publish()
+	return g.compact()
+}
+
+func (g *Group) apply(entries []repl.Entry) {
+	for _, e := range entries {
+		var value any
+		if e.Kind == repl.Command {
+			value = g.opt.Machine.Apply(e.Index, e.Data)
+		}
+		g.applied = e.Index
+		w, ok := g.waiting[e.Index]
+		if !ok {
+			continue
+		}
+		delete(g.waiting, e.Index)
+		if w.term != e.Term {
+			w.to <- result{err: ErrLost}
+			continue
+		}
+		w.to <- result{value: value}
+	}
+}
+
+func (g *Group) answerReads(reads []repl.Read) {
+	for _, r := range reads {
+		if w, ok := g.reads[r.Round]; ok {
+			delete(g.reads, r.Round)
+			w.to <- readResult{at: w.at}
+		}
+	}
+}
+
+func (g *Group) failReads() {
+	for round, w := range g.reads {
+		delete(g.reads, round)
+		w.to <- readResult{err: repl.ErrNotLeader}
+	}
+}
+
+func (g *Group) failAll(err error) {
+	for i, w := range g.waiting {
+		delete(g.waiting, i)
+		w.to <- result{err: err}
+	}
+	g.failReads()
+}
+
+// compact stores a snapshot once enough entries were applied since the last one.
+func (g *Group) compact() error {
+	if g.applied < g.snapAt+snapEvery {
+		return nil
+	}
+	data, err := g.opt.Machine.Snapshot()
+	if err != nil {
+		return fault.At("take snapshot", "", err)
+	}
+	snap := g.core.SnapshotAt(g.applied, data)
+	rest := g.core.Compact(snap.Index, snapTail)
+	g.snapAt = snap.Index
+	return g.store.Compact(snap, rest)
+}
+
+// publish makes the status readable to other goroutines.
+func (g *Group) publish() {
+	st := g.core.Status()
+	lead, _ := g.core.LeaderAddr()
+	g.mu.Lock()
+	g.status, g.leader = st, lead
+	g.mu.Unlock()
+}
+
+// Status returns a view of the replica.
+func (g *Group) Status() repl.Status {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.status
+}
+
+// Leader returns the replica that is believed to lead, if one is.
+func (g *Group) Leader() (repl.Member, bool) {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.leader, g.leader.ID != ""
+}
+
+// Cluster returns the identity of the cluster, or the empty string before it is founded.
+func (g *Group) Cluster() string {
+	return g.identity().Cluster
+}
+
+// do runs f on the replica's goroutine.
+func (g *Group) do(ctx context.Context, f func(now time.Time)) error {
+	select {
+	case g.work <- f:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.done:
+		return ErrStopped
+	}
+}
+
+// Propose commits a command and returns what the state machine answered.
+// After an error other than repl.ErrNotLeader and ErrLost the command may yet be committed.
+func (g *Group) Propose(ctx context.Context, data []byte) (any, error) {
+	to := make(chan result, 1)
+	err := g.do(ctx, func(time.Time) {
+		if g.core == nil {
+			to <- result{err: repl.ErrNotLeader}
+			return
+		}
+		index, term, err := g.core.Propose(data)
+		if err != nil {
+			to <- result{err: err}
+			return
+		}
+		if old, ok := g.waiting[index]; ok {
+			old.to <- result{err: ErrLost}
+		}
+		g.waiting[index] = waiter{term: term, to: to}
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-to:
+		return r.value, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-g.done:
+		return nil, ErrStopped
+	}
+}
+
+// Confirm proves by a quorum that no newer leader existed at the returned time, and that all committed by then is applied here.
+func (g *Group) Confirm(ctx context.Context) (time.Time, error) {
+	to := make(chan readResult, 1)
+	err := g.do(ctx, func(now time.Time) {
+		if g.core == nil {
+			to <- readResult{err: repl.ErrNotLeader}
+			return
+		}
+		round, err := g.core.Confirm()
+		if err != nil {
+			to <- readResult{err: err}
+			return
+		}
+		g.reads[round] = readWaiter{at: now, to: to}
+	})
+	if err != nil {
+		return time.Time{}, err
+	}
+	select {
+	case r := <-to:
+		return r.at, r.err
+	case <-ctx.Done():
+		return time.Time{}, ctx.Err()
+	case <-g.done:
+		return time.Time{}, ErrStopped
+	}
+}
