--- /dev/null
+++ b/internal/ctrl/command.go
@@ -0,0 +1,149 @@
+package ctrl
+
+import (
+	"errors"
+	"net/netip"
+
+	"github.com/greengagewheel/greengagewheel/internal/claim"
+	"github.com/greengagewheel/greengagewheel/internal/contr"
+	"github.com/greengagewheel/greengagewheel/internal/order"
+)
+
+// Codes of a Result.
+const (
+	OK       Code = "ok"
+	Conflict Code = "conflict"
+	Invalid  Code = "invalid"
+	Missing  Code = "missing"
+	Held     Code = "held"
+	Ceiling  Code = "ceiling"
+)
+
+type (
+	// Code tells how a command ended.
+	Code string
+
+	// Command is one entry of the log; just one of its parts is set.
+	Command struct {
+		At     int64      `json:"at"`
+		Put    *Put       `json:"put,omitempty"`
+		Drop   *Drop      `json:"drop,omitempty"`
+		Enlist *Instance  `json:"enlist,omitempty"`
+		Strike *Strike    `json:"strike,omitempty"`
+		Lease  *Acquire   `json:"lease,omitempty"`
+		Renew  *Renew     `json:"renew,omitempty"`
+		Claim  *claim.Cmd `json:"claim,omitempty"`
+		Slice  *Slice     `json:"slice,omitempty"`
+		Poison *Poison    `json:"poison,omitempty"`
+		Order  *Order     `json:"order,omitempty"`
+	}
+
+	// Put changes one contract, made from the version that Expect names (0 for a new contract).
+	Put struct {
+		Change   string         `json:"change"`
+		Expect   uint64         `json:"expect"`
+		Author   string         `json:"author"`
+		Contract contr.Contract `json:"contract"`
+	}
+
+	// Drop removes one contract.
+	Drop struct {
+		Change   string `json:"change"`
+		Expect   uint64 `json:"expect"`
+		Author   string `json:"author"`
+		Customer string `json:"customer"`
+	}
+
+	// Instance is one running instance; Boot is new at each start.
+	Instance struct {
+		Name   string         `json:"name"`
+		Zone   string         `json:"zone"`
+		Region string         `json:"region"`
+		Boot   string         `json:"boot"`
+		Addr   netip.AddrPort `json:"addr"`
+	}
+
+	// Strike removes an instance that is gone, if it still has the boot.
+	Strike struct {
+		Name string `json:"name"`
+		Boot string `json:"boot"`
+	}
+
+	// Acquire takes a cell's lease if its epoch is still Seen.
+	Acquire struct {
+		Cell   string   `json:"cell"`
+		Seen   uint64   `json:"seen"`
+		Holder Instance `json:"holder"`
+	}
+
+	// Renew renews all leases of a boot, or gives them up.
+	Renew struct {
+		Boot    string `json:"boot"`
+		Release bool   `json:"release,omitempty"`
+	}
+
+	// Slice takes a part of a customer's ceiling for a holder, or returns what was not spent, in micro-euros.
+	Slice struct {
+		ID       string `json:"id"`
+		Customer string `json:"customer"`
+		Period   string `json:"period"`
+		Holder   string `json:"holder"`
+		Take     int64  `json:"take,omitempty"`
+		Return   int64  `json:"return,omitempty"`
+	}
+
+	// Poison reports that an endpoint crashed while it ran a request, or that the request ran to its end.
+	Poison struct {
+		Print string `json:"print"`
+		Boot  string `json:"boot,omitempty"`
+		Clear bool   `json:"clear,omitempty"`
+	}
+
+	// Order gives an engine an order, or records that it was carried out.
+	Order struct {
+		ID       string     `json:"id"`
+		Endpoint string     `json:"endpoint"`
+		Kind     order.Kind `json:"kind,omitempty"`
+		Value    string     `json:"value,omitempty"`
+		Done     uint64     `json:"done,omitempty"`
+	}
+
+	// Result is what a command came to.
+	Result struct {
+		Code    Code          `json:"code"`
+		Reason  string        `json:"reason,omitempty"`
+		Version uint64        `json:"version,omitempty"`
+		Author  string        `json:"author,omitempty"`
+		Epoch   uint64        `json:"epoch,omitempty"`
+		Holder  Instance      `json:"holder"`
+		Amount  int64         `json:"amount,omitempty"`
+		Fence   uint64        `json:"fence,omitempty"`
+		Claim   *claim.Record `json:"claim,omitempty"`
+	}
+)
+
+// Check returns an error for a command that holds no part or a broken one.
+func (c *Command) Check() error {
+	switch {
+	case c.Put != nil:
+		if c.Put.Change == "" {
+			return errors.New("command: change ID is missing")
+		}
+		return c.Put.Contract.Check()
+	case c.Drop != nil:
+		if c.Drop.Change == "" {
+			return errors.New("command: change ID is missing")
+		}
+	case c.Claim != nil:
+		return c.Claim.Check()
+	case c.Slice != nil:
+		if c.Slice.Take < 0 || c.Slice.Return < 0 {
+			return errors.New("command: negative slice")
+		}
+	case c.Order != nil && c.Order.Done == 0:
+		return (&order.Order{Kind: c.Order.Kind, Value: c.Order.Value}).Check()
+	case c.Enlist == nil && c.Strike == nil && c.Lease == nil && c.Renew == nil && c.Poison == nil && c.Order == nil:
+		return errors.New("command: holds no part")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/quorum/doc.go
@@ -0,0 +1,2 @@
+// Package quorum lets every instance commit commands to the replicated log, wherever its leader is.
+package quorum
