--- /dev/null
+++ b/internal/spread/spread.go
@@ -0,0 +1,337 @@
+package spread
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/contr"
+	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/memb"
+	"github.com/greengagewheel/greengagewheel/internal/peer"
+)
+
+const (
+	// proveEvery is the time between two proofs that the leader makes.
+	proveEvery = 500 * time.Millisecond
+	// stale is the age of the own proof at which another parent is tried.
+	stale = 1200 * time.Millisecond
+	// homeEvery is the time after which the best parent is tried again.
+	homeEvery   = 5 * time.Second
+	pullTimeout = memb.Hold + 500*time.Millisecond
+	retryPause  = 100 * time.Millisecond
+)
+
+type (
+	// Root is the control state and the quorum behind it, on a replica.
+	Root interface {
+		Confirm(ctx context.Context) (time.Time, error)
+		Since(version uint64) (items []ctrl.Item, full bool, now uint64)
+		Cluster() string
+	}
+
+	// Options holds what the spread needs; Root is nil on an instance without the log.
+	Options struct {
+		Self     ctrl.Instance
+		Replicas []memb.Replica
+		Bound    time.Duration
+		Links    *peer.Links
+		Root     Root
+		Log      *zap.Logger
+	}
+
+	// Spread is this instance's copy of the configuration.
+	Spread struct {
+		opt      Options
+		view     atomic.Pointer[ctrl.View]
+		mu       sync.Mutex
+		cluster  string
+		items    map[string]ctrl.Item
+		floor    uint64
+		proof    memb.Proof
+		children *memb.Children
+		news     chan struct{}
+		poke     chan struct{}
+		lapsed   bool
+	}
+)
+
+// New returns an empty copy.
+func New(opt Options) *Spread {
+	s := &Spread{opt: opt, items: map[string]ctrl.Item{}, children: memb.NewChildren(opt.Bound), news: make(chan struct{}),
+		poke: make(chan struct{}, 1)}
+	s.view.Store(&ctrl.View{Book: contr.NewBook(0, nil), Instances: map[string]ctrl.Instance{}, Prints: map[string]ctrl.Print{}, Cells: map[string]bool{}})
+	return s
+}
+
+// View returns the present configuration; it is never changed.
+func (s *Spread) View() *ctrl.View {
+	return s.view.Load()
+}
+
+// Fresh reports whether the configuration is proven current within the bound.
+func (s *Spread) Fresh(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.proof.Fresh(now, s.opt.Bound)
+}
+
+// Age returns the age of the proof, or a day where there is none.
+func (s *Spread) Age(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.proof.Moment()
+	if !ok {
+		return 24 * time.Hour
+	}
+	return now.Sub(m)
+}
+
+// Least returns the least version applied by this instance and all that pull through it, and their number.
+func (s *Spread) Least(now time.Time) (uint64, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.children.Least(now, s.view.Load().Version)
+}
+
+// Run keeps the copy current until the context ends.
+func (s *Spread) Run(ctx context.Context) {
+	at, home := 0, time.Now()
+	for ctx.Err() == nil {
+		if s.opt.Root != nil && s.prove(ctx) {
+			at = 0
+			s.rest(ctx)
+			continue
+		}
+		parents := memb.Parents(s.opt.Self, s.View().Instances, s.opt.Replicas)
+		if len(parents) == 0 {
+			wait(ctx, retryPause)
+			continue
+		}
+		if time.Since(home) > homeEvery {
+			at, home = 0, time.Now()
+		}
+		if !s.pull(ctx, parents[at%len(parents)]) || s.Age(time.Now()) > stale {
+			at++
+			wait(ctx, retryPause)
+		}
+		s.watch()
+	}
+}
+
+// rest waits until the next proof is due or something was committed.
+func (s *Spread) rest(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-s.poke:
+	case <-time.After(proveEvery):
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// watch logs when the proof lapses and when it is back.
+func (s *Spread) watch() {
+	lapsed := !s.Fresh(time.Now())
+	if lapsed == s.lapsed {
+		return
+	}
+	s.lapsed = lapsed
+	if lapsed {
+		s.opt.Log.Warn("configuration not proven current; admission stops", zap.Duration("age", s.Age(time.Now())))
+		return
+	}
+	s.opt.Log.Info("configuration proven current", zap.Uint64("version", s.View().Version))
+}
+
+// prove renews the proof by a quorum, on the leader, and reports whether this instance is that.
+func (s *Spread) prove(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*proveEvery)
+	defer cancel()
+	moment, err := s.opt.Root.Confirm(ctx)
+	if err != nil {
+		return false
+	}
+	items, full, version := s.opt.Root.Since(s.View().Version)
+	s.take(s.opt.Root.Cluster(), items, full, version)
+	s.renew(moment)
+	s.watch()
+	return true
+}
+
+// Wake lets the leader take in and spread what was just committed, without waiting for the next proof.
+func (s *Spread) Wake() {
+	select {
+	case s.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Spread) renew(moment time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.proof.Renew(moment)
+	s.wake()
+}
+
+// wake lets the pulls that are held answer.
+func (s *Spread) wake() {
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// pull asks one parent for news and reports whether it could prove them.
+func (s *Spread) pull(ctx context.Context, from netip.AddrPort) bool {
+	now := time.Now()
+	s.mu.Lock()
+	least, count := s.children.Least(now, s.View().Version)
+	p := memb.Pull{
+		Name: s.opt.Self.Name, Boot: s.opt.Self.Boot, Cluster: s.cluster,
+		Version: s.View().Version, Least: least, Count: count,
+	}
+	s.mu.Unlock()
+	var n memb.News
+	if err := s.opt.Links.Call(ctx, from, peer.Pull, pullTimeout, p, &n); err != nil {
+		s.opt.Log.Debug("pull failed", zap.Error(err))
+		return false
+	}
+	if !s.take(n.Cluster, n.Items, n.Full, n.Version) {
+		return false
+	}
+	if n.Proven {
+		s.renew(memb.FromNews(now, n))
+	}
+	return n.Proven
+}
+
+// take applies newer items and reports whether they were of this cluster and not older than what is here.
+func (s *Spread) take(cluster string, items []ctrl.Item, full bool, version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cluster == "" || s.cluster != "" && cluster != s.cluster {
+		return false
+	}
+	s.cluster = cluster
+	old := s.view.Load()
+	if version < old.Version {
+		return false
+	}
+	if version == old.Version {
+		return true
+	}
+	if full {
+		s.items = map[string]ctrl.Item{}
+		s.floor = version
+	}
+	for _, it := range items {
+		s.items[string(it.Kind)+"/"+it.Key] = it
+	}
+	s.view.Store(build(version, s.items, old, items, full))
+	s.wake()
+	return true
+}
+
+// build makes the view of a version; contracts that did not change are shared with the old view.
+func build(version uint64, all map[string]ctrl.Item, old *ctrl.View, changed []ctrl.Item, full bool) *ctrl.View {
+	v := &ctrl.View{Version: version, Instances: map[string]ctrl.Instance{}, Prints: map[string]ctrl.Print{}, Cells: map[string]bool{}}
+	contracts := map[string]*contr.Contract{}
+	if !full {
+		old.Book.All(func(c *contr.Contract) { contracts[c.Customer] = c })
+		for k, i := range old.Instances {
+			v.Instances[k] = i
+		}
+		for k, p := range old.Prints {
+			v.Prints[k] = p
+		}
+		for k := range old.Cells {
+			v.Cells[k] = true
+		}
+	} else {
+		changed = changed[:0:0]
+		for _, it := range all {
+			changed = append(changed, it)
+		}
+	}
+	for _, it := range changed {
+		set(v, contracts, it)
+	}
+	v.Book = contr.NewBook(version, contracts)
+	return v
+}
+
+func set(v *ctrl.View, contracts map[string]*contr.Contract, it ctrl.Item) {
+	switch it.Kind {
+	case ctrl.KindContract:
+		var c ctrl.Signed
+		delete(contracts, it.Key)
+		if !it.Gone && cbor.Unmarshal(it.Data, &c) == nil {
+			contracts[it.Key] = &c.Contract
+		}
+	case ctrl.KindInstance:
+		var i ctrl.Instance
+		delete(v.Instances, it.Key)
+		if !it.Gone && cbor.Unmarshal(it.Data, &i) == nil {
+			v.Instances[it.Key] = i
+		}
+	case ctrl.KindCell:
+		v.Cells[it.Key] = true
+	case ctrl.KindPrint:
+		var p ctrl.Print
+		delete(v.Prints, it.Key)
+		if !it.Gone && cbor.Unmarshal(it.Data, &p) == nil {
+			v.Prints[it.Key] = p
+		}
+	}
+}
+
+// Serve answers a child's pull: at once when there is something newer, else when the proof is renewed.
+func (s *Spread) Serve(ctx context.Context, p memb.Pull) (memb.News, error) {
+	arrived := time.Now()
+	s.mu.Lock()
+	s.children.Seen(arrived, p)
+	news := s.news
+	newer := s.view.Load().Version > p.Version
+	s.mu.Unlock()
+	if !newer {
+		hold := time.NewTimer(memb.Hold)
+		defer hold.Stop()
+		select {
+		case <-news:
+		case <-hold.C:
+		case <-ctx.Done():
+		}
+	}
+	return s.answer(arrived, p), nil
+}
+
+func (s *Spread) answer(arrived time.Time, p memb.Pull) memb.News {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := memb.News{Cluster: s.cluster, Version: s.view.Load().Version}
+	moment, ok := s.proof.Moment()
+	n.Proven = ok && s.proof.Fresh(time.Now(), s.opt.Bound)
+	n.Ahead = moment.Sub(arrived)
+	if !n.Proven {
+		n.Ahead = 0
+	}
+	since := p.Version
+	if p.Cluster != s.cluster || since < s.floor {
+		since, n.Full = 0, true
+	}
+	for _, it := range s.items {
+		if it.Mod > since {
+			n.Items = append(n.Items, it)
+		}
+	}
+	return n
+}
