--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,417 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/cell"
+	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/fault"
+	"github.com/greengagewheel/greengagewheel/internal/peer"
+	"github.com/greengagewheel/greengagewheel/internal/quorum"
+	"github.com/greengagewheel/greengagewheel/internal/sched"
+	"github.com/greengagewheel/greengagewheel/pkg/endpt"
+)
+
+const (
+	askTimeout   = 1500 * time.Millisecond
+	callTimeout  = time.Second
+	findTimeout  = 4 * time.Second
+	syncEvery    = time.Second
+	retryPause   = 40 * time.Millisecond
+	doneTimeout  = 5 * time.Second
+	pendingDones = 4096
+	maxDones     = 256
+)
+
+// ErrNoCell tells that no endpoint ever served the model or service.
+var ErrNoCell = errors.New("no endpoint serves it")
+
+type (
+	// Options holds what the broker needs.
+	Options struct {
+		Self  ctrl.Instance
+		Links *peer.Links
+		Find  *quorum.Client
+		Cells *cell.Cells
+		Log   *zap.Logger
+	}
+
+	// Broker finds the schedulers and keeps the table of what runs here.
+	Broker struct {
+		opt   Options
+		mu    sync.Mutex
+		cells map[string]*office
+		wg    conc.WaitGroup
+		ctx   context.Context
+	}
+
+	// office is what this instance has to do with one cell.
+	office struct {
+		name  string
+		find  sync.Mutex
+		mu    sync.Mutex
+		addr  netip.AddrPort
+		epoch uint64
+		anns  map[string]heard
+		runs  map[string]*Run
+		dones chan sched.Done
+	}
+
+	// heard is an announcement and when it came.
+	heard struct {
+		ann endpt.Announce
+		at  time.Time
+	}
+
+	// Run is one granted request that this instance relays.
+	Run struct {
+		mu     sync.Mutex
+		ask    sched.Ask
+		target sched.Target
+		since  time.Time
+		gap    time.Duration
+	}
+)
+
+// New returns a broker whose reports end with the context.
+func New(ctx context.Context, opt Options) *Broker {
+	return &Broker{opt: opt, cells: map[string]*office{}, ctx: ctx}
+}
+
+// Observe notes the present mean time between tokens of a run.
+func (r *Run) Observe(gap time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gap = gap
+}
+
+func (b *Broker) office(name string) *office {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o := b.cells[name]
+	if o == nil {
+		o = &office{name: name, anns: map[string]heard{}, runs: map[string]*Run{}, dones: make(chan sched.Done, pendingDones)}
+		b.cells[name] = o
+		b.wg.Go(func() { b.reports(o) })
+		b.wg.Go(func() { b.finishes(o) })
+	}
+	return o
+}
+
+// holder returns the address of a cell's scheduler, and looks for it where it is not known.
+func (b *Broker) holder(ctx context.Context, o *office, create bool) (netip.AddrPort, error) {
+	if addr, ok := o.known(); ok {
+		return addr, nil
+	}
+	o.find.Lock()
+	defer o.find.Unlock()
+	if addr, ok := o.known(); ok {
+		return addr, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	sent := time.Now()
+	res, err := b.opt.Find.Holder(ctx, quorum.Holder{Cell: o.name, Asker: b.opt.Self, Create: create})
+	if err != nil {
+		return netip.AddrPort{}, fault.At("find scheduler", o.name, err)
+	}
+	if res.Code == ctrl.Missing {
+		return netip.AddrPort{}, ErrNoCell
+	}
+	if res.Holder.Boot == b.opt.Self.Boot {
+		b.opt.Cells.Take(o.name, res.Epoch, sent)
+	}
+	b.moved(o, res.Holder.Addr, res.Epoch)
+	return res.Holder.Addr, nil
+}
+
+func (o *office) known() (netip.AddrPort, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.addr, o.addr.IsValid()
+}
+
+// forget drops a holder that did not answer as one.
+func (o *office) forget(addr netip.AddrPort) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.addr == addr {
+		o.addr = netip.AddrPort{}
+	}
+}
+
+// moved notes a holder, and tells a new one at once what runs here and which endpoints were heard here.
+func (b *Broker) moved(o *office, addr netip.AddrPort, epoch uint64) {
+	o.mu.Lock()
+	fresh := o.epoch != epoch
+	o.addr, o.epoch = addr, epoch
+	var anns []heard
+	for name, h := range o.anns {
+		if time.Since(h.at) > endpt.Stale {
+			delete(o.anns, name)
+			continue
+		}
+		anns = append(anns, h)
+	}
+	o.mu.Unlock()
+	if !fresh {
+		return
+	}
+	b.wg.Go(func() {
+		b.report(o, addr)
+		for _, h := range anns {
+			q := cell.Order{Announce: &h.ann, Age: time.Since(h.at)}
+			_, _ = b.call(b.ctx, o, addr, q, callTimeout)
+		}
+	})
+}
+
+// call gives an order to a cell's scheduler at an address, here or there.
+func (b *Broker) call(ctx context.Context, o *office, to netip.AddrPort, q cell.Order, timeout time.Duration) (cell.Answer, error) {
+	q.Cell = o.name
+	var a cell.Answer
+	var err error
+	if to == b.opt.Self.Addr {
+		a, err = b.opt.Cells.Serve(ctx, q)
+	} else {
+		err = b.opt.Links.Call(ctx, to, method(&q), timeout, q, &a)
+	}
+	if err == nil && !a.Held {
+		err = fault.New("call scheduler", to.String(), "does not hold the lease of %s", o.name)
+	}
+	if err != nil && ctx.Err() == nil {
+		o.forget(to)
+	}
+	return a, err
+}
+
+// method returns the protocol method that carries an order.
+func method(q *cell.Order) func(peer.Peer, context.Context, *peer.Frame) (*peer.Frame, error) {
+	switch {
+	case q.Ask != nil:
+		return peer.Ask
+	case q.Report != nil:
+		return peer.Sync
+	case q.Announce != nil:
+		return peer.Announce
+	case len(q.Done) > 0 || q.Cancel != "":
+		return peer.Finish
+	}
+	return peer.Show
+}
+
+// Ask waits for the verdict on an ask, through changes of the scheduler, until the context ends.
+// A run that is granted must be ended by Finish.
+func (b *Broker) Ask(ctx context.Context, name string, a sched.Ask) (sched.Verdict, *Run, error) {
+	o := b.office(name)
+	started := time.Now()
+	waited := a.Waited
+	var last error
+	for ctx.Err() == nil {
+		addr, err := b.holder(ctx, o, false)
+		if errors.Is(err, ErrNoCell) {
+			return sched.Verdict{}, nil, err
+		}
+		if err == nil {
+			a.Waited = waited + time.Since(started)
+			var ans cell.Answer
+			ans, err = b.call(ctx, o, addr, cell.Order{Ask: &a}, askTimeout)
+			if err == nil && ans.Verdict.Verb == sched.Wait {
+				continue
+			}
+			if err == nil {
+				return ans.Verdict, b.begin(o, a, ans.Verdict), nil
+			}
+		}
+		last = err
+		pause(ctx, retryPause)
+	}
+	b.cancel(o, a)
+	return sched.Verdict{}, nil, fault.At("ask for grant", name, errors.Join(ctx.Err(), last))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// begin enters a granted run in the table; other verdicts give no run.
+func (b *Broker) begin(o *office, a sched.Ask, v sched.Verdict) *Run {
+	if v.Verb != sched.Granted {
+		return nil
+	}
+	r := &Run{ask: a, target: v.Target, since: time.Now()}
+	o.mu.Lock()
+	o.runs[a.ID] = r
+	o.mu.Unlock()
+	return r
+}
+
+// cancel takes back an ask whose caller has gone; a grant that was under way is ended too.
+func (b *Broker) cancel(o *office, a sched.Ask) {
+	addr, ok := o.known()
+	if !ok {
+		return
+	}
+	b.wg.Go(func() {
+		_, _ = b.call(b.ctx, o, addr, cell.Order{Cancel: a.ID, Entry: a.Entry}, callTimeout)
+		b.finish(o, sched.Done{ID: a.ID, Attempt: a.Attempt, Unsent: true})
+	})
+}
+
+// Finish reports the end of a run.
+func (b *Broker) Finish(name string, r *Run, d sched.Done) {
+	o := b.office(name)
+	d.ID, d.Attempt = r.ask.ID, r.ask.Attempt
+	o.mu.Lock()
+	if o.runs[d.ID] == r {
+		delete(o.runs, d.ID)
+	}
+	o.mu.Unlock()
+	b.finish(o, d)
+}
+
+func (b *Broker) finish(o *office, d sched.Done) {
+	select {
+	case o.dones <- d:
+	default:
+	}
+}
+
+// finishes sends reports of ended runs in batches.
+func (b *Broker) finishes(o *office) {
+	for {
+		var batch []sched.Done
+		select {
+		case <-b.ctx.Done():
+			return
+		case d := <-o.dones:
+			batch = append(batch, d)
+		}
+		for len(o.dones) > 0 && len(batch) < maxDones {
+			batch = append(batch, <-o.dones)
+		}
+		b.sendDones(o, batch)
+	}
+}
+
+// sendDones retries for a while; the regular report frees what it could not tell.
+func (b *Broker) sendDones(o *office, batch []sched.Done) {
+	ctx, cancel := context.WithTimeout(b.ctx, doneTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		addr, err := b.holder(ctx, o, false)
+		if err == nil {
+			if _, err = b.call(ctx, o, addr, cell.Order{Done: batch}, callTimeout); err == nil {
+				return
+			}
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// reports tells the scheduler at regular times what runs here.
+func (b *Broker) reports(o *office) {
+	t := time.NewTicker(syncEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case <-t.C:
+		}
+		o.mu.Lock()
+		idle := len(o.runs) == 0
+		o.mu.Unlock()
+		if idle {
+			continue
+		}
+		if addr, err := b.holder(b.ctx, o, false); err == nil {
+			b.report(o, addr)
+		}
+	}
+}
+
+func (b *Broker) report(o *office, to netip.AddrPort) {
+	now := time.Now()
+	rep := sched.Report{Entry: b.opt.Self.Boot}
+	o.mu.Lock()
+	for _, r := range o.runs {
+		r.mu.Lock()
+		rep.Runs = append(rep.Runs, sched.Progress{Ask: r.ask, Target: r.target, Gap: r.gap, Since: now.Sub(r.since)})
+		r.mu.Unlock()
+	}
+	o.mu.Unlock()
+	if _, err := b.call(b.ctx, o, to, cell.Order{Report: &rep}, callTimeout); err != nil {
+		b.opt.Log.Debug("report failed", zap.String("cell", o.name), zap.Error(err))
+	}
+}
+
+// Announce forwards an announcement to the schedulers of all its cells; an error means that not each of them has it.
+func (b *Broker) Announce(ctx context.Context, cells []string, a endpt.Announce) error {
+	var failed error
+	for _, name := range cells {
+		if err := b.announce(ctx, name, a); err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
+func (b *Broker) announce(ctx context.Context, name string, a endpt.Announce) error {
+	const tries = 3
+	o := b.office(name)
+	o.mu.Lock()
+	o.anns[a.Name] = heard{ann: a, at: time.Now()}
+	o.mu.Unlock()
+	var err error
+	for range tries {
+		var addr netip.AddrPort
+		if addr, err = b.holder(ctx, o, true); err != nil {
+			return err
+		}
+		if _, err = b.call(ctx, o, addr, cell.Order{Announce: &a}, callTimeout); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// Show returns the state of each cell's scheduler that can be reached.
+func (b *Broker) Show(ctx context.Context, names []string) map[string]sched.State {
+	out := map[string]sched.State{}
+	for _, name := range names {
+		o := b.office(name)
+		addr, err := b.holder(ctx, o, false)
+		if err != nil {
+			continue
+		}
+		a, err := b.call(ctx, o, addr, cell.Order{}, callTimeout)
+		if err == nil && a.State != nil {
+			out[name] = *a.State
+		}
+	}
+	return out
+}
+
+// Running returns the number of runs in the table.
+func (b *Broker) Running() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, o := range b.cells {
+		o.mu.Lock()
+		n += len(o.runs)
+		o.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/cell/doc.go
@@ -0,0 +1,2 @@
+// Package cell runs the schedulers of the cells whose leases this instance holds.
+package cell
--- /dev/null
+++ b/internal/quota/doc.go
@@ -0,0 +1,2 @@
+// Package quota holds the rules for rates and spending.
+package quota
--- /dev/null
+++ b/internal/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses the endpoint for a request and judges endpoints against their cohort.
+package route
