--- /dev/null
+++ b/internal/conns/conns.go
@@ -0,0 +1,115 @@
+package conns
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	dialTimeout = time.Second
+	idleTimeout = 20 * time.Second
+	// maxAge bounds the age of a pool, as what stands between two ends may forget old connections.
+	maxAge    = 5 * time.Minute
+	maxIdle   = 64
+	keepAlive = 5 * time.Second
+)
+
+type (
+	// Pool is the connections to one peer.
+	Pool struct {
+		mu   sync.Mutex
+		t    *http.Transport
+		born time.Time
+	}
+
+	// Pools holds one pool for each peer.
+	Pools struct {
+		mu    sync.RWMutex
+		pools map[netip.AddrPort]*Pool
+	}
+)
+
+// New returns an empty pool.
+func New() *Pool {
+	return &Pool{t: Transport(), born: time.Now()}
+}
+
+// Transport returns a transport with bounded dialing and idle time.
+func Transport() *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConnsPerHost: maxIdle,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Once returns a transport that uses a new connection for each request, so that none is ever sent twice by the library.
+func Once() *http.Transport {
+	t := Transport()
+	t.DisableKeepAlives = true
+	return t
+}
+
+// Do sends a request over a pooled connection.
+func (p *Pool) Do(q *http.Request) (*http.Response, error) {
+	return p.transport(time.Now()).RoundTrip(q)
+}
+
+func (p *Pool) transport(now time.Time) *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.born) > maxAge {
+		p.t.CloseIdleConnections()
+		p.t, p.born = Transport(), now
+	}
+	return p.t
+}
+
+// Renew drops the pooled connections, all of which may be silent; the next request dials anew.
+func (p *Pool) Renew() {
+	p.mu.Lock()
+	old := p.t
+	p.t, p.born = Transport(), time.Now()
+	p.mu.Unlock()
+	old.CloseIdleConnections()
+}
+
+// NewPools returns an empty set of pools.
+func NewPools() *Pools {
+	return &Pools{pools: map[netip.AddrPort]*Pool{}}
+}
+
+// To returns the pool to a peer.
+func (s *Pools) To(addr netip.AddrPort) *Pool {
+	s.mu.RLock()
+	p := s.pools[addr]
+	s.mu.RUnlock()
+	if p != nil {
+		return p
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p = s.pools[addr]; p == nil {
+		p = New()
+		s.pools[addr] = p
+	}
+	return p
+}
+
+// Silence returns a context that is canceled, with the deadline error as its cause, when feed is not called for the wait that it was last given.
+func Silence(ctx context.Context, first time.Duration) (quiet context.Context, feed func(time.Duration), stop func()) {
+	quiet, cancel := context.WithCancelCause(ctx)
+	t := time.AfterFunc(first, func() { cancel(context.DeadlineExceeded) })
+	feed = func(next time.Duration) { t.Reset(next) }
+	stop = func() {
+		t.Stop()
+		cancel(context.Canceled)
+	}
+	return quiet, feed, stop
+}
--- /dev/null
+++ b/internal/conns/doc.go
@@ -0,0 +1,2 @@
+// Package conns keeps HTTP connections to one peer and replaces them when they go silent.
+package conns
--- /dev/null
+++ b/internal/entry/generate.go
@@ -0,0 +1,343 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gofiber/fiber/v2"
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/broker"
+	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/relay"
+	"github.com/greengagewheel/greengagewheel/internal/retry"
+	"github.com/greengagewheel/greengagewheel/internal/sched"
+	"github.com/greengagewheel/greengagewheel/pkg/chat"
+)
+
+const (
+	// blockBytes is the size of a prefix block in bytes of prompt text.
+	blockBytes    = 256
+	poisonTimeout = 2 * time.Second
+	// hangCheck is the time between two looks at whether the caller is still there.
+	hangCheck = 200 * time.Millisecond
+)
+
+// job is one generation to be driven to its end.
+type job struct {
+	cl      *caller
+	cell    string
+	model   string
+	print   string
+	stream  relay.Stream
+	input   int
+	bound   int
+	blocks  []uint64
+	run     *run
+	attempt int
+	avoid   []string
+	solo    bool
+	steal   bool
+	crashes int
+	first   time.Duration
+	sent    time.Time
+	served  time.Duration
+	lastTok time.Time
+	gaps    time.Duration
+	tokens  int
+}
+
+func (e *Entry) generate(c *fiber.Ctx, isChat bool) error {
+	body := c.Body()
+	req, err := chat.Decode(body, isChat)
+	cl, p := e.admit(c, req.Model)
+	if cl != nil && err != nil {
+		p = newProblem(http.StatusBadRequest, codeBad, chat.RanNo, "%s", err.Error())
+	}
+	if p != nil {
+		return e.refuse(c, cl, p)
+	}
+	r, p := e.launch(c, cl, req, body)
+	if p != nil {
+		return e.refuse(c, cl, p)
+	}
+	e.busy.Add(1)
+	rd := reader{e: e, run: r, req: req, chat: isChat, cl: cl, conn: c.Context().Conn()}
+	if p := rd.await(); p != nil {
+		rd.close(p.code)
+		return e.refuse(c, cl, p)
+	}
+	if req.Stream {
+		return rd.stream(c)
+	}
+	return rd.whole(c)
+}
+
+// refuse answers with a problem and counts it.
+func (e *Entry) refuse(c *fiber.Ctx, cl *caller, p *problem) error {
+	if cl != nil {
+		cl.series.Outcome(p.code)
+		e.opt.Log.Info("request refused", zap.String("customer", cl.contract.Customer), zap.String("class", cl.class.Name),
+			zap.String("code", p.code), zap.String("ran", p.ran), zap.String("reason", p.message))
+	}
+	return e.fail(c, p)
+}
+
+// launch joins the run of a request that was sent before, or begins one.
+func (e *Entry) launch(c *fiber.Ctx, cl *caller, req chat.Request, body []byte) (*run, *problem) {
+	print := fingerprint(req.Model, string(body))
+	id, given := requestID(cl.contract.Customer, c.Get(headerID))
+	if given {
+		if r := e.runs.join(id); r != nil {
+			return r, sameRequest(r, print)
+		}
+	}
+	if p := quarantined(e.opt.View(), print); p != nil {
+		return nil, p
+	}
+	sent, err := relay.Body(body)
+	if err != nil {
+		return nil, newProblem(http.StatusBadRequest, codeBad, chat.RanNo, "%s", err.Error())
+	}
+	ctx, stop := context.WithCancel(e.ctx)
+	r, fresh := e.runs.begin(id, print, stop)
+	if !fresh {
+		stop()
+		return r, sameRequest(r, print)
+	}
+	e.budget.Earn()
+	text := req.Text()
+	j := &job{
+		cl: cl, cell: e.cell(req.Model), model: req.Model, print: print, run: r,
+		input: chat.Tokens(text), bound: req.Bound(), blocks: blocks(text),
+		stream: relay.Stream{
+			ID: id, Path: c.Path(), Body: sent, Priority: cl.class.Tier,
+			First: e.opt.Limits.First.Std(), Gap: e.opt.Limits.Gap.Std(),
+		},
+	}
+	e.wg.Go(func() {
+		defer stop()
+		e.drive(ctx, j)
+	})
+	return r, nil
+}
+
+// sameRequest refuses to join a run that has another content under the same ID.
+func sameRequest(r *run, print string) *problem {
+	if r.print == print {
+		return nil
+	}
+	r.leave()
+	return newProblem(http.StatusUnprocessableEntity, codeReused, chat.RanNo, "the request ID was used for another request")
+}
+
+// quarantined refuses a request that crashed endpoints.
+func quarantined(v *ctrl.View, print string) *problem {
+	if !v.Prints[print].Quarantined {
+		return nil
+	}
+	return newProblem(http.StatusUnprocessableEntity, codeQuarantined, chat.RanNo,
+		"this request crashed the endpoints that ran it and is not run again")
+}
+
+// blocks returns the chained hashes of a prompt's whole leading blocks.
+func blocks(text string) []uint64 {
+	var out []uint64
+	h := xxhash.New()
+	for len(text) >= blockBytes && len(out) < sched.MaxBlocks {
+		_, _ = h.WriteString(text[:blockBytes])
+		out = append(out, h.Sum64())
+		text = text[blockBytes:]
+	}
+	return out
+}
+
+// drive takes a run through grants and endpoints until it has ended.
+func (e *Entry) drive(ctx context.Context, j *job) {
+	var p *problem
+	for done := false; !done; {
+		done, p = e.step(ctx, j)
+	}
+	j.run.end(p)
+	e.runs.retire(time.Now(), j.run)
+}
+
+// step asks for one grant and follows its verdict; done tells that the run has ended, early where there is a problem.
+func (e *Entry) step(ctx context.Context, j *job) (done bool, p *problem) {
+	if p := quarantined(e.opt.View(), j.print); p != nil {
+		p.ran = j.ran()
+		return true, p
+	}
+	_, suspect := e.opt.View().Prints[j.print]
+	j.solo = j.solo || suspect
+	v, held, err := e.opt.Broker.Ask(ctx, j.cell, e.ask(j))
+	switch {
+	case errors.Is(err, broker.ErrNoCell):
+		return true, newProblem(http.StatusNotFound, codeModel, chat.RanNo, "no model %q", j.model)
+	case err != nil:
+		return true, newProblem(http.StatusServiceUnavailable, codeGone, j.ran(), "the caller has gone")
+	case v.Verb == sched.Refused:
+		return true, refused(v, j.ran())
+	case v.Verb == sched.Elsewhere:
+		return e.elsewhere(ctx, j, v)
+	}
+	if j.attempt == 0 {
+		j.cl.series.Queued(v.Queued)
+	}
+	return e.attempt(ctx, j, v, held)
+}
+
+func (e *Entry) ask(j *job) sched.Ask {
+	return sched.Ask{
+		ID: j.run.id, Entry: e.opt.Self.Boot, Addr: e.opt.Self.Addr, Customer: j.cl.contract.Customer, Class: j.cl.class.Name,
+		Zone: e.opt.Self.Zone, Input: j.input, Bound: j.bound, Blocks: j.blocks, Avoid: j.avoid,
+		Solo: j.solo, Attempt: j.attempt, Waited: time.Since(j.cl.arrived), Steal: j.steal,
+	}
+}
+
+// ran tells whether a run that ends now ran: yes once a token came, unknown once it was sent.
+func (j *job) ran() string {
+	switch {
+	case j.run.offset() > 0:
+		return chat.RanYes
+	case j.attempt > 0:
+		return chat.RanUnknown
+	}
+	return chat.RanNo
+}
+
+// attempt relays the run from one endpoint, from where it stands.
+func (e *Entry) attempt(ctx context.Context, j *job, v sched.Verdict, held *broker.Run) (done bool, p *problem) {
+	j.sent, j.served = time.Now(), 0
+	err := e.relay.Fetch(ctx, v.Target.Addr, j.stream, j.run.offset(), func(ev relay.Event) error {
+		j.observe(time.Now(), ev, held)
+		j.run.add(ev)
+		return nil
+	})
+	d := sched.Done{First: j.served, Gap: j.meanGap(), Tokens: j.run.offset()}
+	if err == nil {
+		e.opt.Broker.Finish(j.cell, held, d)
+		e.succeeded(j)
+		return true, nil
+	}
+	if ctx.Err() != nil {
+		_ = e.relay.Cancel(e.ctx, v.Target.Addr, j.stream.ID)
+		e.opt.Broker.Finish(j.cell, held, d)
+		return true, newProblem(http.StatusServiceUnavailable, codeGone, j.ran(), "the caller has gone")
+	}
+	var refusal *relay.Refusal
+	if errors.As(err, &refusal) {
+		e.opt.Broker.Finish(j.cell, held, sched.Done{Unsent: true})
+		return true, failed(err, j.ran())
+	}
+	return e.again(j, v, held, err)
+}
+
+// again prepares the next attempt after an endpoint failed, or gives the run up.
+func (e *Entry) again(j *job, v sched.Verdict, held *broker.Run, err error) (done bool, p *problem) {
+	unsent := errors.Is(err, relay.ErrUnsent) && !errors.Is(err, relay.ErrBroken)
+	crashed := errors.Is(err, relay.ErrUnsent) && !unsent
+	e.opt.Log.Warn("endpoint failed", zap.String("step", "stream"), zap.String("peer", v.Target.Name),
+		zap.String("id", j.run.id), zap.Int("offset", j.run.offset()), zap.Bool("crashed", crashed), zap.Error(err))
+	e.opt.Broker.Finish(j.cell, held, sched.Done{Broken: true, Unsent: unsent, Tokens: j.run.offset()})
+	if !unsent && !crashed {
+		e.wg.Go(func() { _ = e.relay.Cancel(e.ctx, v.Target.Addr, j.stream.ID) })
+	}
+	if crashed {
+		j.crashes++
+		j.solo = true
+		e.blame(j.print, v.Target.Boot)
+	}
+	j.attempt++
+	j.avoid = append(j.avoid, v.Target.Boot)
+	switch {
+	case j.crashes >= 2:
+		p := newProblem(http.StatusUnprocessableEntity, codeQuarantined, j.ranAfter(unsent),
+			"this request crashed the endpoints that ran it and is not run again")
+		return true, p
+	case j.attempt >= retry.MaxAttempts || !e.budget.Spend():
+		return true, failed(err, j.ranAfter(unsent))
+	}
+	return false, nil
+}
+
+// ranAfter is ran for a run whose last attempt may not have been sent.
+func (j *job) ranAfter(unsent bool) string {
+	if unsent && j.attempt == 1 {
+		return chat.RanNo
+	}
+	return j.ran()
+}
+
+// blame reports a crash through the log before the request runs anywhere else.
+func (e *Entry) blame(print, boot string) {
+	ctx, cancel := context.WithTimeout(e.ctx, poisonTimeout)
+	defer cancel()
+	cmd := ctrl.Command{Poison: &ctrl.Poison{Print: print, Boot: boot}}
+	if _, err := e.opt.Quorum.Propose(ctx, cmd); err != nil {
+		e.opt.Log.Warn("crash not reported", zap.String("print", print), zap.Error(err))
+	}
+}
+
+// succeeded clears a suspicion and counts the run.
+func (e *Entry) succeeded(j *job) {
+	j.cl.series.First(j.first)
+	if g := j.meanGap(); g > 0 {
+		j.cl.series.Gap(g)
+	}
+	if !j.solo {
+		return
+	}
+	e.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(e.ctx, poisonTimeout)
+		defer cancel()
+		_, _ = e.opt.Quorum.Propose(ctx, ctrl.Command{Poison: &ctrl.Poison{Print: j.print, Clear: true}})
+	})
+}
+
+// observe takes the times of a token.
+func (j *job) observe(now time.Time, ev relay.Event, held *broker.Run) {
+	if ev.Finish != "" {
+		return
+	}
+	j.tokens++
+	if j.served == 0 {
+		j.served = now.Sub(j.sent)
+	}
+	if j.lastTok.IsZero() {
+		j.first = now.Sub(j.cl.arrived)
+	} else {
+		j.gaps += now.Sub(j.lastTok)
+		held.Observe(j.meanGap())
+	}
+	j.lastTok = now
+}
+
+// meanGap returns the mean time between the tokens so far.
+func (j *job) meanGap() time.Duration {
+	if j.tokens < 2 {
+		return 0
+	}
+	return j.gaps / time.Duration(j.tokens-1)
+}
+
+// watch calls gone once the caller has closed its connection; it ends with the context.
+func watch(ctx context.Context, conn net.Conn, gone func()) {
+	t := time.NewTicker(hangCheck)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			if hungUp(conn) {
+				gone()
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/links.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/greengagewheel/greengagewheel/internal/conns"
+	"github.com/greengagewheel/greengagewheel/internal/fault"
+)
+
+type (
+	// Links holds the connections to other instances and replaces them when one goes silent.
+	Links struct {
+		secret string
+		mu     sync.RWMutex
+		links  map[netip.AddrPort]*link
+		sent   atomic.Int64
+		calls  atomic.Int64
+	}
+
+	// link is the connection pool to one instance.
+	link struct {
+		links  *Links
+		pool   *conns.Pool
+		client Peer
+	}
+
+	// call is one method of the protocol.
+	call func(Peer, context.Context, *Frame) (*Frame, error)
+)
+
+// Methods of the protocol, for Call.
+var (
+	Step     call = Peer.Step
+	Propose  call = Peer.Propose
+	Holder   call = Peer.Holder
+	Pull     call = Peer.Pull
+	Ask      call = Peer.Ask
+	Finish   call = Peer.Finish
+	Sync     call = Peer.Sync
+	Announce call = Peer.Announce
+	Show     call = Peer.Show
+	Read     call = Peer.Read
+)
+
+// NewLinks returns a set of links that authenticate with the shared secret.
+func NewLinks(secret string) *Links {
+	return &Links{secret: secret, links: map[netip.AddrPort]*link{}}
+}
+
+// Sent returns the bytes of message bodies sent and the number of calls made so far.
+func (l *Links) Sent() (size, calls int64) {
+	return l.sent.Load(), l.calls.Load()
+}
+
+func (l *Links) to(addr netip.AddrPort) *link {
+	l.mu.RLock()
+	k := l.links[addr]
+	l.mu.RUnlock()
+	if k != nil {
+		return k
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k = l.links[addr]; k == nil {
+		k = &link{links: l}
+		k.client = NewPeerProtobufClient("http://"+addr.String(), k)
+		k.pool = conns.New()
+		l.links[addr] = k
+	}
+	return k
+}
+
+// Do sends a request over the pool, with the secret.
+func (k *link) Do(q *http.Request) (*http.Response, error) {
+	q.Header.Set("Authorization", "Bearer "+k.links.secret)
+	return k.pool.Do(q)
+}
+
+// Call sends req by one method to a peer and decodes its answer into resp, within the timeout.
+// After a timeout the next call uses a new connection.
+func (l *Links) Call(ctx context.Context, to netip.AddrPort, m call, timeout time.Duration, req, resp any) error {
+	f, err := pack(req)
+	if err != nil {
+		return fault.At("encode", to.String(), err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	l.sent.Add(int64(len(f.Body)))
+	l.calls.Add(1)
+	k := l.to(to)
+	out, err := m(k.client, ctx, f)
+	if err != nil {
+		if ctx.Err() == context.DeadlineExceeded {
+			k.pool.Renew()
+		}
+		return fault.At("call", to.String(), err)
+	}
+	return fault.At("decode", to.String(), Decode(out.Body, resp))
+}
--- /dev/null
+++ b/internal/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds how much work is tried again.
+package retry
