--- /dev/null
+++ b/internal/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin serves operators: contracts, views of the system, readiness and metrics.
+package admin
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,388 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/admin"
+	"github.com/greengagewheel/greengagewheel/internal/broker"
+	"github.com/greengagewheel/greengagewheel/internal/cell"
+	"github.com/greengagewheel/greengagewheel/internal/conf"
+	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/entry"
+	"github.com/greengagewheel/greengagewheel/internal/fault"
+	"github.com/greengagewheel/greengagewheel/internal/group"
+	"github.com/greengagewheel/greengagewheel/internal/memb"
+	"github.com/greengagewheel/greengagewheel/internal/meter"
+	"github.com/greengagewheel/greengagewheel/internal/peer"
+	"github.com/greengagewheel/greengagewheel/internal/quorum"
+	"github.com/greengagewheel/greengagewheel/internal/repl"
+	"github.com/greengagewheel/greengagewheel/internal/sched"
+	"github.com/greengagewheel/greengagewheel/internal/spread"
+	"github.com/greengagewheel/greengagewheel/internal/store"
+)
+
+const (
+	// enlistEvery is the time between two entries of an instance into the list of instances.
+	enlistEvery   = 20 * time.Second
+	enlistRetry   = 300 * time.Millisecond
+	enlistTimeout = 3 * time.Second
+	// lostAfter is the silence after which an instance is struck from the list.
+	lostAfter = 120 * time.Second
+	// settleStop is how long a stopping instance still takes requests, until the balancer has seen that it is not ready.
+	settleStop   = time.Second
+	closeTimeout = 5 * time.Second
+	drainCheck   = 20 * time.Millisecond
+	headTimeout  = 5 * time.Second
+)
+
+type (
+	// Node is one instance.
+	Node struct {
+		conf    conf.Conf
+		log     *zap.Logger
+		self    ctrl.Instance
+		links   *peer.Links
+		machine *ctrl.Machine
+		group   *group.Group
+		quorum  *quorum.Client
+		server  *quorum.Server
+		spread  *spread.Spread
+		cells   *cell.Cells
+		broker  *broker.Broker
+		entry   *entry.Entry
+		admin   *admin.Admin
+		meter   *meter.Meter
+		peers   *http.Server
+		lists   listeners
+		wg      conc.WaitGroup
+		ctx     context.Context
+		cancel  context.CancelFunc
+	}
+
+	listeners struct {
+		callers, operators, peers net.Listener
+	}
+)
+
+// New listens on the instance's addresses and puts its parts together.
+func New(c conf.Conf, log *zap.Logger) (*Node, error) {
+	now := time.Now()
+	n := &Node{conf: c, log: log, machine: ctrl.NewMachine(), links: peer.NewLinks(c.Keys.Secret), meter: meter.New()}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.self = ctrl.Instance{
+		Name: c.Instance.Name, Zone: c.Instance.Zone, Region: c.Instance.Region, Boot: c.Instance.Name + "-" + store.NewID(),
+		Addr: addrOf(n.lists.peers),
+	}
+	if err := n.openGroup(now); err != nil {
+		return nil, err
+	}
+	n.assemble()
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		at netip.AddrPort
+		to *net.Listener
+	}{
+		{n.conf.Listen.Callers, &n.lists.callers},
+		{n.conf.Listen.Operators, &n.lists.operators},
+		{n.conf.Listen.Peers, &n.lists.peers},
+	} {
+		got, err := net.Listen("tcp", l.at.String())
+		if err != nil {
+			return fault.At("listen", l.at.String(), err)
+		}
+		*l.to = got
+	}
+	n.lists.callers = entry.Listener(n.lists.callers)
+	return nil
+}
+
+func addrOf(l net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// replica reports whether this instance holds the log.
+func (n *Node) replica() bool {
+	if n.conf.Instance.Data == "" {
+		return false
+	}
+	for _, r := range n.conf.Peers.Replicas {
+		if r.Name == n.conf.Instance.Name {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) openGroup(now time.Time) error {
+	if !n.replica() {
+		return nil
+	}
+	var members []repl.Member
+	for _, r := range n.conf.Peers.Replicas {
+		members = append(members, repl.Member{Name: r.Name, Addr: r.Addr})
+	}
+	g, err := group.New(group.Options{
+		Name: n.conf.Instance.Name, Dir: n.conf.Instance.Data, Self: n.self.Addr, Peers: members,
+		Links: n.links, Machine: n.machine, Log: n.log, Seed: uint64(now.UnixNano()),
+	}, now)
+	n.group = g
+	return err
+}
+
+// root is the replica as the source of configuration.
+type root struct {
+	*group.Group
+	*ctrl.Machine
+}
+
+func (n *Node) assemble() {
+	var addrs []netip.AddrPort
+	var replicas []memb.Replica
+	for _, r := range n.conf.Peers.Replicas {
+		addrs = append(addrs, r.Addr)
+		replicas = append(replicas, memb.Replica{Name: r.Name, Zone: r.Zone, Addr: r.Addr})
+	}
+	n.quorum = quorum.NewClient(n.links, addrs)
+	opt := spread.Options{
+		Self: n.self, Replicas: replicas, Bound: n.conf.Fresh.Bound.Std(), Links: n.links, Log: n.log,
+	}
+	if n.group != nil {
+		opt.Root = root{n.group, n.machine}
+	}
+	n.spread = spread.New(opt)
+	if n.group != nil {
+		n.server = quorum.NewServer(n.group, n.machine, n.spread.Least)
+		n.machine.OnChange(n.spread.Wake)
+	}
+	n.cells = cell.New(n.ctx, cell.Options{
+		Self: n.self, Prop: n.quorum, View: n.spread.View, Fresh: n.fresh, Log: n.log,
+		Sched: sched.Options{Queue: n.conf.Sched.Queue, Gap: n.conf.Sched.Gap.Std(), Settle: n.conf.Sched.Settle.Std()},
+	})
+	n.broker = broker.New(n.ctx, broker.Options{Self: n.self, Links: n.links, Find: n.quorum, Cells: n.cells, Log: n.log})
+	n.entry = entry.New(n.ctx, entry.Options{
+		Self: n.self, Limits: n.conf.Limits, Endpoint: n.conf.Keys.Endpoint, Secret: n.conf.Keys.Secret,
+		View: n.spread.View, Fresh: n.fresh, Broker: n.broker, Quorum: n.quorum, Meter: n.meter, Log: n.log,
+	})
+	n.admin = admin.New(admin.Options{
+		Self: n.self, Key: n.conf.Keys.Operator, View: n.spread.View, Age: n.spread.Age, Ready: n.entry.Ready,
+		Quorum: n.quorum, Broker: n.broker, Meter: n.meter, Log: n.log,
+	})
+	n.peers = &http.Server{Handler: n.peerRoutes(), ReadHeaderTimeout: headTimeout}
+}
+
+// fresh reports whether the configuration is proven current, or need not be.
+func (n *Node) fresh(now time.Time) bool {
+	if n.conf.Fresh.Lost == conf.LostServe && n.spread.View().Version > 0 {
+		return true
+	}
+	return n.spread.Fresh(now)
+}
+
+func (n *Node) peerRoutes() http.Handler {
+	h := peer.Handlers{
+		Pull:     peer.Typed(n.spread.Serve),
+		Ask:      peer.Typed(n.cells.Serve),
+		Finish:   peer.Typed(n.cells.Serve),
+		Sync:     peer.Typed(n.cells.Serve),
+		Announce: peer.Typed(n.cells.Serve),
+		Show:     peer.Typed(n.cells.Serve),
+	}
+	if n.group != nil {
+		h.Step = peer.Typed(n.group.Receive)
+		h.Propose = peer.Typed(n.server.Propose)
+		h.Holder = peer.Typed(n.server.Holder)
+		h.Read = peer.Typed(n.server.Read)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/twirp/", peer.NewHandler(n.conf.Keys.Secret, h))
+	mux.Handle(entry.RunsPath, peer.Guard(n.conf.Keys.Secret, http.HandlerFunc(n.entry.ShowRun)))
+	return mux
+}
+
+// Callers returns the address that callers use.
+func (n *Node) Callers() netip.AddrPort {
+	return addrOf(n.lists.callers)
+}
+
+// Operators returns the address that operators use.
+func (n *Node) Operators() netip.AddrPort {
+	return addrOf(n.lists.operators)
+}
+
+// Ready tells why the instance is not ready, or nil.
+func (n *Node) Ready() error {
+	return n.entry.Ready(time.Now())
+}
+
+// Run serves until the context ends, then stops gracefully: no request in progress is cut off.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info("instance starts", zap.String("name", n.self.Name), zap.String("zone", n.self.Zone), zap.String("boot", n.self.Boot),
+		zap.Stringer("callers", n.Callers()), zap.Stringer("operators", n.Operators()), zap.Stringer("peers", n.self.Addr),
+		zap.Bool("replica", n.group != nil))
+	failed := make(chan error, 3)
+	n.serve(failed, "callers", func() error { return n.entry.Serve(n.lists.callers) })
+	n.serve(failed, "operators", func() error { return n.admin.Serve(n.lists.operators) })
+	n.serve(failed, "peers", func() error { return n.peers.Serve(n.lists.peers) })
+	if n.group != nil {
+		n.wg.Go(func() { n.group.Run(n.ctx) })
+	}
+	n.wg.Go(func() { n.spread.Run(n.ctx) })
+	n.wg.Go(func() { n.cells.Run(n.ctx) })
+	n.wg.Go(func() { n.enlist(n.ctx) })
+	n.wg.Go(func() { n.gauges(n.ctx) })
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	n.stop()
+	n.log.Info("instance stopped", zap.String("name", n.self.Name), zap.Error(err))
+	return err
+}
+
+func (n *Node) serve(failed chan<- error, name string, f func() error) {
+	n.wg.Go(func() {
+		if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) && n.ctx.Err() == nil {
+			failed <- fmt.Errorf("serve %s: %w", name, err)
+		}
+	})
+}
+
+// stop ends the instance: not ready first, then the schedulers handed over, the requests finished, and the rest.
+func (n *Node) stop() {
+	n.log.Info("instance stops", zap.Int("requests", n.entry.Busy()))
+	n.entry.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	n.cells.Close(ctx)
+	time.Sleep(settleStop)
+	n.drainRequests()
+	done, cancel2 := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel2()
+	_ = n.entry.Close(done)
+	_ = n.admin.Close(done)
+	n.leave(done)
+	n.cancel()
+	_ = n.peers.Close()
+	n.wg.Wait()
+	n.entry.Wait()
+	_ = n.meter.Close()
+}
+
+// drainRequests waits for the requests in progress, for as long as the settings allow.
+func (n *Node) drainRequests() {
+	limit := n.conf.Limits.Drain.Std()
+	start := time.Now()
+	_ = n.lists.callers.Close()
+	for n.entry.Busy() > 0 {
+		if limit > 0 && time.Since(start) > limit {
+			n.log.Warn("drain limit reached", zap.Int("requests", n.entry.Busy()))
+			return
+		}
+		time.Sleep(drainCheck)
+	}
+}
+
+// leave strikes the instance from the list.
+func (n *Node) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, enlistTimeout)
+	defer cancel()
+	cmd := ctrl.Command{Strike: &ctrl.Strike{Name: n.self.Name, Boot: n.self.Boot}}
+	if _, err := n.quorum.Propose(ctx, cmd); err != nil {
+		n.log.Warn("not struck from the list of instances", zap.Error(err))
+	}
+}
+
+// enlist enters the instance into the list at regular times, and strikes lost ones where it leads the log.
+func (n *Node) enlist(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := enlistEvery
+		if err := n.propose(ctx, ctrl.Command{Enlist: &n.self}); err != nil {
+			pause = enlistRetry
+		}
+		if n.group != nil && n.group.Status().Role == repl.Leader.String() {
+			n.strikeLost(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (n *Node) strikeLost(ctx context.Context) {
+	for _, i := range n.machine.Lost(lostAfter) {
+		n.log.Warn("instance lost; struck from the list", zap.String("name", i.Name), zap.String("boot", i.Boot))
+		_ = n.propose(ctx, ctrl.Command{Strike: &ctrl.Strike{Name: i.Name, Boot: i.Boot}})
+	}
+}
+
+func (n *Node) propose(ctx context.Context, cmd ctrl.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, enlistTimeout)
+	defer cancel()
+	_, err := n.quorum.Propose(ctx, cmd)
+	return err
+}
+
+// gauges reports the instance's own state to the metrics.
+func (n *Node) gauges(ctx context.Context) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		n.meter.Gauge("config_version", float64(n.spread.View().Version))
+		n.meter.Gauge("config_age_seconds", n.spread.Age(time.Now()).Seconds())
+		n.meter.Gauge("requests_in_progress", float64(n.entry.Busy()))
+		n.meter.Gauge("cells_held", float64(len(n.cells.Names())))
+		size, calls := n.links.Sent()
+		n.meter.Gauge("peer_bytes_sent", float64(size))
+		n.meter.Gauge("peer_calls", float64(calls))
+	}
+}
+
+// Put commits a contract.
+func (n *Node) Put(ctx context.Context, p ctrl.Put) (ctrl.Result, error) {
+	return n.quorum.Propose(ctx, ctrl.Command{Put: &p})
+}
+
+// AwaitCells waits until each of the models and services is served in this instance's region, and the instance is ready.
+func (n *Node) AwaitCells(ctx context.Context, limit time.Duration, names ...string) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !n.served(names) || n.Ready() != nil {
+		select {
+		case <-ctx.Done():
+			return fault.At("wait for endpoints", "", ctx.Err())
+		case <-time.After(drainCheck):
+		}
+	}
+	return nil
+}
+
+func (n *Node) served(names []string) bool {
+	for _, name := range names {
+		if !n.spread.View().Cells[name+"@"+n.self.Region] {
+			return false
+		}
+	}
+	return true
+}
