--- a/internal/conf/limits.go
+++ b/internal/conf/limits.go
@@ -10,6 +10,14 @@
 	maxSize = 64 << 20
 )
 
+// What is done when an endpoint fails.
+const (
+	// RetryResume goes on at the token where the stream broke, within a budget, and finds requests that crash endpoints.
+	RetryResume = "resume"
+	// RetryBlind only tries elsewhere what has no token yet; it is there for comparison.
+	RetryBlind = "blind"
+)
+
 // Limits bounds what callers may send and how long silence is borne.
 type Limits struct {
 	Body   Size     `toml:"body"`
@@ -18,6 +26,7 @@
 	Gap    Duration `toml:"gap"`
 	Call   Duration `toml:"call"`
 	Drain  Duration `toml:"drain"`
+	Retry  string   `toml:"retry"`
 }
 
 func defaultLimits() Limits {
@@ -27,6 +36,7 @@
 		First:  Duration(20 * time.Second),
 		Gap:    Duration(2 * time.Second),
 		Call:   Duration(30 * time.Second),
+		Retry:  RetryResume,
 	}
 }
 
@@ -42,6 +52,8 @@
 		return "gap", errors.New("must be above 0s")
 	case l.Call == 0:
 		return "call", errors.New("must be above 0s")
+	case l.Retry != RetryResume && l.Retry != RetryBlind:
+		return "retry", errors.New("must be \"resume\" or \"blind\"")
 	}
 	return "", nil
 }
--- a/internal/conf/sched.go
+++ b/internal/conf/sched.go
@@ -13,6 +13,8 @@
 	Gap    Duration `toml:"gap"`
 	First  Duration `toml:"first"`
 	Settle Duration `toml:"settle"`
+	Policy string   `toml:"policy"`
+	Choice string   `toml:"choice"`
 }
 
 func defaultSched() Sched {
@@ -21,6 +23,8 @@
 		Gap:    Duration(36 * time.Millisecond),
 		First:  Duration(680 * time.Millisecond),
 		Settle: Duration(500 * time.Millisecond),
+		Policy: "contract",
+		Choice: "load",
 	}
 }
 
@@ -34,6 +38,10 @@
 		return "first", errors.New("must be above 0s")
 	case s.Settle.Std() > 2*time.Second:
 		return "settle", errors.New("must be at most 2s")
+	case s.Policy != "contract" && s.Policy != "fifo":
+		return "policy", errors.New("must be \"contract\" or \"fifo\"")
+	case s.Choice != "load" && s.Choice != "random" && s.Choice != "round" && s.Choice != "least":
+		return "choice", errors.New("must be \"load\", \"random\", \"round\" or \"least\"")
 	}
 	return "", nil
 }
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/broker"
+	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/relay"
 	"github.com/greengagewheel/greengagewheel/internal/retry"
@@ -247,7 +248,8 @@
 	if !unsent && !crashed {
 		e.wg.Go(func() { _ = e.relay.Cancel(e.ctx, v.Target.Addr, j.stream.ID) })
 	}
-	if crashed {
+	blind := e.opt.Limits.Retry == conf.RetryBlind
+	if crashed && !blind {
 		j.crashes++
 		j.solo = true
 		e.blame(j.print, v.Target.Boot)
@@ -255,6 +257,10 @@
 	j.attempt++
 	j.avoid = append(j.avoid, v.Target.Boot)
 	switch {
+	case blind && j.run.offset() == 0 && j.attempt < retry.MaxAttempts:
+		return false, nil
+	case blind:
+		return true, failed(err, j.ranAfter(unsent))
 	case j.crashes >= 2:
 		p := newProblem(http.StatusUnprocessableEntity, codeQuarantined, j.ranAfter(unsent),
 			"this request crashed the endpoints that ran it and is not run again")
--- a/internal/live/fleet_test.go
+++ b/internal/live/fleet_test.go
@@ -70,7 +70,7 @@
 	// inst is one instance of a fleet.
 	inst struct {
 		*proc
-		name, zone, dir, conf      string
+		name, zone, dir, conf     string
 		callers, operators, peers netip.AddrPort
 	}
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/peer"
 	"github.com/greengagewheel/greengagewheel/internal/quorum"
 	"github.com/greengagewheel/greengagewheel/internal/repl"
+	"github.com/greengagewheel/greengagewheel/internal/route"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
 	"github.com/greengagewheel/greengagewheel/internal/spread"
 	"github.com/greengagewheel/greengagewheel/internal/store"
@@ -171,7 +172,10 @@
 	}
 	n.cells = cell.New(n.ctx, cell.Options{
 		Self: n.self, Prop: n.quorum, View: n.spread.View, Fresh: n.fresh, Log: n.log,
-		Sched: sched.Options{Queue: n.conf.Sched.Queue, Gap: n.conf.Sched.Gap.Std(), Settle: n.conf.Sched.Settle.Std()},
+		Sched: sched.Options{
+			Queue: n.conf.Sched.Queue, Gap: n.conf.Sched.Gap.Std(), Settle: n.conf.Sched.Settle.Std(),
+			Policy: sched.Policy(n.conf.Sched.Policy), Choice: route.Choice(n.conf.Sched.Choice),
+		},
 	})
 	n.broker = broker.New(n.ctx, broker.Options{Self: n.self, Links: n.links, Find: n.quorum, Cells: n.cells, Log: n.log})
 	n.entry = entry.New(n.ctx, entry.Options{
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -1,11 +1,20 @@
 package route
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// Ways to choose an endpoint; all but ByLoad are there for comparison.
+const (
+	ByLoad Choice = "load"
+	Random Choice = "random"
+	Round  Choice = "round"
+	Least  Choice = "least"
+)
+
 const (
 	// loadBound is how far above the mean load an endpoint may be chosen for its cached prefix.
 	loadBound = 1.25
@@ -15,12 +24,59 @@
 	prefixDepth = 4
 )
 
-// Need is what the choice of an endpoint depends on.
-type Need struct {
-	Zone   string
-	Blocks []uint64
-	Avoid  []string
-	Prefer string
+type (
+	// Choice names a way to choose an endpoint.
+	Choice string
+
+	// Need is what the choice of an endpoint depends on.
+	Need struct {
+		Zone   string
+		Blocks []uint64
+		Avoid  []string
+		Prefer string
+	}
+
+	// Picker chooses endpoints in one way.
+	Picker struct {
+		choice Choice
+		rng    *rand.Rand
+		next   int
+	}
+)
+
+// New returns a picker; the seed decides random choices.
+func New(choice Choice, seed uint64) *Picker {
+	return &Picker{choice: choice, rng: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Pick returns the endpoint for a request, or nil if none that it may use is free.
+func (p *Picker) Pick(now time.Time, eps []*Endpoint, need *Need) *Endpoint {
+	if p.choice == "" || p.choice == ByLoad {
+		return byLoad(now, eps, need)
+	}
+	var free []*Endpoint
+	for _, e := range eps {
+		if e.Free(now) > 0 && !need.Avoids(e.Ann.Boot) {
+			free = append(free, e)
+		}
+	}
+	if len(free) == 0 {
+		return nil
+	}
+	switch p.choice {
+	case Random:
+		return free[p.rng.IntN(len(free))]
+	case Round:
+		p.next++
+		return free[p.next%len(free)]
+	}
+	best := free[0]
+	for _, e := range free[1:] {
+		if e.Running < best.Running {
+			best = e
+		}
+	}
+	return best
 }
 
 // Avoids reports whether the request must not run on the boot.
@@ -33,8 +89,8 @@
 	return false
 }
 
-// Pick returns the endpoint for a request, or nil if none that it may use is free.
-func Pick(now time.Time, eps []*Endpoint, need *Need) *Endpoint {
+// byLoad prefers the endpoint that holds the request's prefix, within a bound on its load, and else the least crowded one.
+func byLoad(now time.Time, eps []*Endpoint, need *Need) *Endpoint {
 	var best, near *Endpoint
 	var bestScore, total float64
 	var top uint64
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -60,6 +60,7 @@
 		out     []Verdict
 		wants   []Want
 		dirty   bool
+		picker  *route.Picker
 	}
 )
 
@@ -68,7 +69,7 @@
 	return &Core{
 		opt: opt, epoch: epoch, settled: now.Add(opt.Settle), flows: map[flowKey]*flow{}, busy: map[*flow]bool{},
 		eps: map[string]*route.Endpoint{}, queued: map[string]*item{}, running: map[string]*run{},
-		purses: map[string]*quota.Purse{}, service: firstService.Seconds(), restAt: now,
+		purses: map[string]*quota.Purse{}, service: firstService.Seconds(), restAt: now, picker: route.New(opt.Choice, opt.Seed),
 	}
 }
 
@@ -263,8 +264,7 @@
 		}
 		if !d.Unsent {
 			e.Observe(d.Gap, d.First)
-			e.Adapt(now, c.opt.Gap)
-			c.dirty = true
+			c.adapt(now, e)
 		}
 	}
 	if d.Unsent {
@@ -326,11 +326,19 @@
 	r.seen = now
 	if e := c.endpoint(r.target); e != nil && p.Gap > 0 {
 		e.Observe(p.Gap, 0)
-		e.Adapt(now, c.opt.Gap)
-		c.dirty = true
+		c.adapt(now, e)
 	}
 }
 
+// adapt lets an endpoint's limit follow what was observed, unless a simpler choice is compared.
+func (c *Core) adapt(now time.Time, e *route.Endpoint) {
+	if c.opt.Choice != "" && c.opt.Choice != route.ByLoad {
+		return
+	}
+	e.Adapt(now, c.opt.Gap)
+	c.dirty = true
+}
+
 // adopt takes a run of an earlier epoch into the table.
 func (c *Core) adopt(now time.Time, p *Progress, t Terms) *run {
 	if it := c.queued[p.Ask.ID]; it != nil {
--- a/internal/sched/pick.go
+++ b/internal/sched/pick.go
@@ -54,6 +54,9 @@
 // nextFlow chooses whose turn it is: a class with guaranteed credit; then, from the part kept for them,
 // the class without a share that was served longest ago; then spare capacity by tier and by share.
 func (c *Core) nextFlow(skip map[*flow]bool) (best *flow, rest bool) {
+	if c.opt.Policy == FIFO {
+		return c.oldest(skip), false
+	}
 	var owed, unshared, spare *flow
 	for f := range c.busy {
 		if skip[f] {
@@ -78,6 +81,20 @@
 	return spare, false
 }
 
+// oldest returns the flow whose first item arrived first.
+func (c *Core) oldest(skip map[*flow]bool) *flow {
+	var best *flow
+	for f := range c.busy {
+		if skip[f] {
+			continue
+		}
+		if best == nil || f.queue[0].arrived.Before(best.queue[0].arrived) {
+			best = f
+		}
+	}
+	return best
+}
+
 func owedBefore(a, b *flow) bool {
 	if a.terms.Tier != b.terms.Tier {
 		return a.terms.Tier < b.terms.Tier
@@ -140,7 +157,7 @@
 	if it.ask.Solo {
 		return c.lane(now, it)
 	}
-	return route.Pick(now, c.order, &it.need)
+	return c.picker.Pick(now, c.order, &it.need)
 }
 
 // lane returns an empty endpoint for a suspect, or keeps one free of new work until it is empty.
--- a/internal/sched/shed.go
+++ b/internal/sched/shed.go
@@ -45,6 +45,9 @@
 func (c *Core) makeRoom(now time.Time, it *item) {
 	full := len(c.queued) > c.opt.Queue
 	late := now.After(c.settled) && c.slots(now) > 0 && c.delay(now, it.flow) > it.deadline.Sub(now)
+	if c.opt.Policy == FIFO {
+		late = false
+	}
 	if !full && !late {
 		return
 	}
@@ -92,6 +95,9 @@
 
 // lowest returns the newest item of the lowest tier below the given one that no guarantee protects.
 func (c *Core) lowest(now time.Time, tier int) *item {
+	if c.opt.Policy == FIFO {
+		return nil
+	}
 	slots := c.slots(now)
 	var found *item
 	for f := range c.busy {
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/greengagewheel/greengagewheel/internal/route"
 	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
@@ -31,6 +32,14 @@
 	NoEndpoint Code = "no_endpoint"
 )
 
+// Policies of a queue.
+const (
+	// ByContract serves by guaranteed share, tier and spare share.
+	ByContract Policy = "contract"
+	// FIFO serves in the order of arrival, whatever the contracts say; it is there for comparison.
+	FIFO Policy = "fifo"
+)
+
 const (
 	// MaxBlocks is the largest number of prefix hashes in one ask.
 	MaxBlocks = 32
@@ -41,6 +50,9 @@
 	// Verb names a verdict.
 	Verb uint8
 
+	// Policy names the order in which a queue is served.
+	Policy string
+
 	// Code names the reason of a refusal.
 	Code string
 
@@ -124,11 +136,14 @@
 		Runs  []Progress `json:"runs,omitempty"`
 	}
 
-	// Options sets a scheduler's bounds.
+	// Options sets a scheduler's bounds and, for comparison, a simpler policy or choice of endpoint.
 	Options struct {
 		Queue  int
 		Gap    time.Duration
 		Settle time.Duration
+		Policy Policy
+		Choice route.Choice
+		Seed   uint64
 	}
 )
 
