--- a/internal/conf/instance.go
+++ b/internal/conf/instance.go
@@ -19,6 +19,7 @@
 		Callers   netip.AddrPort `toml:"callers"`
 		Operators netip.AddrPort `toml:"operators"`
 		Peers     netip.AddrPort `toml:"peers"`
+		Advertise netip.AddrPort `toml:"advertise"`
 	}
 )
 
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -292,6 +292,12 @@
 	return g.leader, g.leader.ID != ""
 }
 
+// LeaderAddr returns the address of the replica that is believed to lead, or an invalid one.
+func (g *Group) LeaderAddr() netip.AddrPort {
+	m, _ := g.Leader()
+	return m.Addr
+}
+
 // Cluster returns the identity of the cluster, or the empty string before it is founded.
 func (g *Group) Cluster() string {
 	return g.identity().Cluster
--- a/internal/live/fleet_test.go
+++ b/internal/live/fleet_test.go
@@ -2,38 +2,24 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
-	"github.com/greengagewheel/greengagewheel/internal/admin"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
-	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/engine"
-	"github.com/greengagewheel/greengagewheel/internal/sched"
+	"github.com/greengagewheel/greengagewheel/internal/rig"
 	"github.com/greengagewheel/greengagewheel/pkg/chat"
 )
 
-const (
-	opKey   = "operator-key-for-tests"
-	endKey  = "endpoint-key-for-tests"
-	secret  = "shared-secret-for-tests"
-	callKey = "caller-key-for-tests"
-	// patience bounds each wait for something that must happen; it is no timing assertion.
-	patience = 30 * time.Second
-)
+const callKey = "caller-key-for-tests"
 
 var binDir string
 
@@ -49,193 +35,100 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	out, err := exec.Command("go", "build", "-o", dir, "../../cmd/greengagewheel", "../../cmd/standin").CombinedOutput()
-	if err != nil {
-		fmt.Println(string(out), err)
+	if err := rig.Build(dir, "../.."); err != nil {
+		fmt.Println(err)
 		return 1
 	}
 	binDir = dir
 	return m.Run()
 }
 
-type (
-	// proc is one process of a fleet.
-	proc struct {
-		cmd *exec.Cmd
-		log *bytes.Buffer
-		end chan struct{}
-		err error
-	}
+// fleet is a rig whose failures fail the test.
+type fleet struct {
+	*rig.Rig
+	t *testing.T
+}
 
-	// inst is one instance of a fleet.
-	inst struct {
-		*proc
-		name, zone, dir, conf     string
-		callers, operators, peers netip.AddrPort
-	}
+// inst is an instance as callers see it.
+type inst struct {
+	*rig.Instance
+}
 
-	// fleet is a set of instances and stand-ins.
-	fleet struct {
-		t     *testing.T
-		dir   string
-		insts []*inst
-		procs []*proc
-	}
-)
+const limits = "[limits]\ngap = \"1s\"\nfirst = \"10s\"\ncall = \"3s\"\n"
 
-func freeAddr(t *testing.T, ip string) netip.AddrPort {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+// newFleet starts n instances in three zones, of which the first so many hold the log.
+func newFleet(t *testing.T, n, replicas int) *fleet {
+	return newFleetWith(t, rig.Options{Instances: n, Replicas: replicas})
 }
 
-// newFleet writes the settings of n instances in three zones, of which the first so many hold the log, and starts them.
-func newFleet(t *testing.T, n, replicas int) *fleet {
-	f := &fleet{t: t, dir: t.TempDir()}
-	for i := range n {
-		ip := fmt.Sprintf("127.0.0.%d", 11+i)
-		in := &inst{
-			name: fmt.Sprintf("i%d", i+1), zone: string(rune('a' + i%3)), dir: filepath.Join(f.dir, fmt.Sprintf("data%d", i+1)),
-			conf: filepath.Join(f.dir, fmt.Sprintf("i%d.toml", i+1)), callers: freeAddr(t, ip), operators: freeAddr(t, ip), peers: freeAddr(t, ip),
-		}
-		f.insts = append(f.insts, in)
-	}
-	var reps []string
-	for _, in := range f.insts[:replicas] {
-		reps = append(reps, fmt.Sprintf(`{ name = %q, zone = %q, addr = %q }`, in.name, in.zone, in.peers))
-	}
-	for i, in := range f.insts {
-		text := fmt.Sprintf("[instance]\nname = %q\nzone = %q\nregion = \"r\"\n", in.name, in.zone)
-		if i < replicas {
-			text += fmt.Sprintf("data = %q\n", in.dir)
-		}
-		text += fmt.Sprintf("[listen]\ncallers = %q\noperators = %q\npeers = %q\n", in.callers, in.operators, in.peers)
-		text += fmt.Sprintf("[peers]\nreplicas = [%s]\n", strings.Join(reps, ", "))
-		text += fmt.Sprintf("[keys]\noperator = %q\nendpoint = %q\nsecret = %q\n", opKey, endKey, secret)
-		text += "[limits]\ngap = \"1s\"\nfirst = \"10s\"\ncall = \"3s\"\n"
-		if err := os.WriteFile(in.conf, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
+func newFleetWith(t *testing.T, opt rig.Options) *fleet {
+	opt.Bin, opt.Dir, opt.Extra = binDir, t.TempDir(), limits+opt.Extra
+	r, err := rig.New(opt)
+	must(t, err)
+	f := &fleet{Rig: r, t: t}
 	t.Cleanup(f.close)
-	for _, in := range f.insts {
-		f.start(in)
-	}
-	f.ready()
+	must(t, r.Start())
 	return f
 }
 
-func (f *fleet) spawn(name string, args ...string) *proc {
-	p := &proc{cmd: exec.Command(filepath.Join(binDir, name), args...), log: &bytes.Buffer{}, end: make(chan struct{})}
-	p.cmd.Stderr = p.log
-	p.cmd.Env = append(os.Environ(), "GREENGAGEWHEEL_ENDPOINT_KEY="+endKey)
-	if err := p.cmd.Start(); err != nil {
-		f.t.Fatal(err)
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
 	}
-	go func() {
-		p.err = p.cmd.Wait()
-		close(p.end)
-	}()
-	f.procs = append(f.procs, p)
-	return p
-}
-
-func (f *fleet) start(in *inst) {
-	in.proc = f.spawn("greengagewheel", "serve", "--conf", in.conf)
 }
 
 // close ends what is left of the fleet, and shows the logs of a failed test.
 func (f *fleet) close() {
-	for _, p := range f.procs {
-		p.kill()
-	}
+	f.Close()
 	if !f.t.Failed() {
 		return
 	}
-	for _, in := range f.insts {
-		f.t.Logf("log of %s:\n%s", in.name, tail(in.log.String(), 3000))
+	for _, in := range f.Instances {
+		log := in.Log()
+		f.t.Logf("log of %s:\n%s", in.Name, log[max(0, len(log)-3000):])
 	}
 }
 
-func tail(s string, n int) string {
-	return s[max(0, len(s)-n):]
-}
-
-func (p *proc) kill() {
-	_ = p.cmd.Process.Signal(syscall.SIGCONT)
-	_ = p.cmd.Process.Kill()
-	<-p.end
-}
-
-// term asks a process to stop and returns how it ended.
-func (p *proc) term(t *testing.T) error {
-	_ = p.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-p.end:
-		return p.err
-	case <-time.After(patience):
-		t.Fatal("process did not stop")
-		return nil
-	}
-}
-
-func (p *proc) freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
-func (p *proc) thaw()   { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
-
 // until waits for cond to hold.
 func until(t *testing.T, what string, cond func() bool) {
 	t.Helper()
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if cond() {
-			return
-		}
-	}
-	t.Fatalf("never happened: %s", what)
-}
-
-func (f *fleet) ready() {
-	f.t.Helper()
-	for _, in := range f.insts {
-		until(f.t, in.name+" is ready", in.isReady)
-	}
+	must(t, rig.Until(what, cond))
 }
 
-func (in *inst) isReady() bool {
-	resp, err := http.Get(fmt.Sprintf("http://%s/readyz", in.callers))
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+// at returns the instance with a number as callers see it.
+func (f *fleet) at(i int) inst {
+	return inst{f.Instances[i]}
 }
 
-// announceTo names the callers' addresses of all instances.
-func (f *fleet) announceTo() string {
-	var out []string
-	for _, in := range f.insts {
-		out = append(out, in.callers.String())
-	}
-	return strings.Join(out, ",")
+// engine starts a stand-in engine of model m.
+func (f *fleet) engine(name, zone string, extra ...string) rig.Standin {
+	s, err := f.Standin("engine", name, zone, "m", extra...)
+	must(f.t, err)
+	return s
 }
 
-// engine starts a stand-in engine and returns it with its address.
-func (f *fleet) engine(name, zone string, extra ...string) (*proc, netip.AddrPort) {
-	return f.standin("engine", name, zone, "m", extra...)
+// service starts a stand-in service that serves bookings.
+func (f *fleet) service(name, zone string, extra ...string) rig.Standin {
+	s, err := f.Standin("service", name, zone, "bookings", extra...)
+	must(f.t, err)
+	return s
 }
 
-// service starts a stand-in service that serves bookings.
-func (f *fleet) service(name, zone string, extra ...string) (*proc, netip.AddrPort) {
-	return f.standin("service", name, zone, "bookings", extra...)
+// enter puts a contract in and waits until it is in force everywhere.
+func (f *fleet) enter(k contr.Contract) uint64 {
+	f.t.Helper()
+	v, err := f.Enter(k)
+	must(f.t, err)
+	return v
 }
 
-func (f *fleet) standin(kind, name, zone, serves string, extra ...string) (*proc, netip.AddrPort) {
-	addr := freeAddr(f.t, "127.0.0.1")
-	args := append([]string{"--kind", kind, "--name", name, "--listen", addr.String(), "--zone", zone,
-		"--serves", serves, "--announce", f.announceTo()}, extra...)
-	return f.spawn("standin", args...), addr
+// serving waits until so many endpoints of a model or service are live.
+func (f *fleet) serving(what string, n int) {
+	f.t.Helper()
+	for _, in := range f.Instances {
+		until(f.t, fmt.Sprintf("%s sees %d endpoints of %s", in.Name, n, what), func() bool { return in.Live(what) >= n })
+	}
 }
 
 // contract is a contract of two classes with the given keys.
@@ -250,66 +143,6 @@
 	return k
 }
 
-// operate sends an operator's request to an instance.
-func (in *inst) operate(method, path string, body, out any) (int, error) {
-	data, _ := json.Marshal(body)
-	q, _ := http.NewRequest(method, fmt.Sprintf("http://%s%s", in.operators, path), bytes.NewReader(data))
-	q.Header.Set("Authorization", "Bearer "+opKey)
-	resp, err := (&http.Client{Timeout: patience}).Do(q)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if out != nil {
-		err = json.NewDecoder(resp.Body).Decode(out)
-	}
-	return resp.StatusCode, err
-}
-
-// put makes a change through an instance.
-func (in *inst) put(ch admin.Change) (admin.Changed, int, error) {
-	var out admin.Changed
-	status, err := in.operate(http.MethodPut, "/v1/contracts/"+ch.Contract.Customer, ch, &out)
-	return out, status, err
-}
-
-// enter puts a contract in and waits until it is in force everywhere.
-func (f *fleet) enter(k contr.Contract) uint64 {
-	f.t.Helper()
-	out, _, err := f.insts[0].put(admin.Change{Contract: k, Wait: true, Author: "test"})
-	if err != nil || out.Code != ctrl.OK {
-		f.t.Fatalf("contract not accepted: %+v %v", out, err)
-	}
-	return out.Version
-}
-
-// cells returns the schedulers' state as an instance shows it.
-func (in *inst) cells() map[string]sched.State {
-	out := map[string]sched.State{}
-	_, _ = in.operate(http.MethodGet, "/v1/cells", nil, &out)
-	return out
-}
-
-// serving waits until so many endpoints of a cell are live.
-func (f *fleet) serving(cell string, n int) {
-	f.t.Helper()
-	until(f.t, fmt.Sprintf("%d endpoints of %s are live", n, cell), func() bool {
-		live := 0
-		for _, e := range f.insts[0].cells()[cell].Endpoints {
-			if e.Live {
-				live++
-			}
-		}
-		return live >= n
-	})
-	for _, in := range f.insts {
-		until(f.t, in.name+" knows "+cell, func() bool {
-			s, _ := in.chat(context.Background(), callKey, "quick", "", "ping", false)
-			return s.status == http.StatusOK || !strings.HasPrefix(cell, "m@")
-		})
-	}
-}
-
 // said is a caller's view of one answer.
 type said struct {
 	status int
@@ -323,9 +156,9 @@
 }
 
 // chat sends a chat request to an instance and reads the whole answer; ctx hangs up.
-func (in *inst) chat(ctx context.Context, key, class, id, prompt string, stream bool) (said, error) {
+func (in inst) chat(ctx context.Context, key, class, id, prompt string, stream bool) (said, error) {
 	body := fmt.Sprintf(`{"model":"m","max_tokens":4000,"stream":%v,"messages":[{"role":"user","content":%q}]}`, stream, prompt)
-	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/chat/completions", in.callers), strings.NewReader(body))
+	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/chat/completions", in.Callers), strings.NewReader(body))
 	q.Header.Set("Authorization", "Bearer "+key)
 	q.Header.Set("X-Class", class)
 	if id != "" {
@@ -335,8 +168,8 @@
 }
 
 // call sends a request to a plain service through an instance.
-func (in *inst) call(ctx context.Context, method, path, key, body string) (said, error) {
-	q, _ := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s/v1/services/bookings%s", in.callers, path), strings.NewReader(body))
+func (in inst) call(ctx context.Context, method, path, key, body string) (said, error) {
+	q, _ := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s/v1/services/bookings%s", in.Callers, path), strings.NewReader(body))
 	q.Header.Set("Authorization", "Bearer "+callKey)
 	if key != "" {
 		q.Header.Set("Idempotency-Key", key)
--- a/internal/memb/tree.go
+++ b/internal/memb/tree.go
@@ -12,11 +12,23 @@
 // fanout is the number of instances of a zone that pull from one of them.
 const fanout = 4
 
-// Parents returns the addresses that self may pull from, best first: its parent in the zone's tree,
-// the other ancestors, and then the replicas, of its zone first.
-func Parents(self ctrl.Instance, all map[string]ctrl.Instance, replicas []Replica) []netip.AddrPort {
+// Parents returns the addresses that self may pull from, best first. A replica pulls from the leader and
+// then from other replicas, never from those that pull from replicas, so that no cycle can arise. Others pull
+// from their parent in the zone's tree, then its ancestors, and then the replicas, of their zone first.
+func Parents(self ctrl.Instance, all map[string]ctrl.Instance, replicas []Replica, leader netip.AddrPort) []netip.AddrPort {
 	var out []netip.AddrPort
-	zone := zoneOrder(self, all)
+	if leader.IsValid() && leader != self.Addr {
+		out = append(out, leader)
+	}
+	holds := map[string]bool{}
+	for _, r := range replicas {
+		holds[r.Name] = true
+	}
+	if holds[self.Name] {
+		return append(out, ordered(self, replicas)...)
+	}
+	out = out[:0]
+	zone := zoneOrder(self, all, holds)
 	at := indexOf(zone, self.Name)
 	for at > 0 {
 		at = (at - 1) / fanout
@@ -32,11 +44,11 @@
 	Addr netip.AddrPort
 }
 
-// zoneOrder returns the instances of a zone in an order that all agree on.
-func zoneOrder(self ctrl.Instance, all map[string]ctrl.Instance) []ctrl.Instance {
+// zoneOrder returns the instances of a zone that hold no log, in an order that all agree on.
+func zoneOrder(self ctrl.Instance, all map[string]ctrl.Instance, holds map[string]bool) []ctrl.Instance {
 	var zone []ctrl.Instance
 	for _, i := range all {
-		if i.Zone == self.Zone && i.Region == self.Region {
+		if i.Zone == self.Zone && i.Region == self.Region && !holds[i.Name] {
 			zone = append(zone, i)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,9 @@
 		Name: c.Instance.Name, Zone: c.Instance.Zone, Region: c.Instance.Region, Boot: c.Instance.Name + "-" + store.NewID(),
 		Addr: addrOf(n.lists.peers),
 	}
+	if c.Listen.Advertise.IsValid() {
+		n.self.Addr = c.Listen.Advertise
+	}
 	if err := n.openGroup(now); err != nil {
 		return nil, err
 	}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -33,6 +33,7 @@
 		Confirm(ctx context.Context) (time.Time, error)
 		Since(version uint64) (items []ctrl.Item, full bool, now uint64)
 		Cluster() string
+		LeaderAddr() netip.AddrPort
 	}
 
 	// Options holds what the spread needs; Root is nil on an instance without the log.
@@ -108,7 +109,7 @@
 			s.rest(ctx)
 			continue
 		}
-		parents := memb.Parents(s.opt.Self, s.View().Instances, s.opt.Replicas)
+		parents := s.parents()
 		if len(parents) == 0 {
 			wait(ctx, retryPause)
 			continue
@@ -133,6 +134,14 @@
 	}
 }
 
+func (s *Spread) parents() []netip.AddrPort {
+	var leader netip.AddrPort
+	if s.opt.Root != nil {
+		leader = s.opt.Root.LeaderAddr()
+	}
+	return memb.Parents(s.opt.Self, s.View().Instances, s.opt.Replicas, leader)
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/pkg/trace/trace.go
+++ b/pkg/trace/trace.go
@@ -27,13 +27,16 @@
 	// Millis is a time in milliseconds.
 	Millis int64
 
-	// Class is the targets of one customer's class; First and Gap of 0 mean that there is no target.
+	// Class is the targets of one customer's class, and what its contract says: Share in percent, Patience in milliseconds.
+	// First and Gap of 0 mean that there is no target.
 	Class struct {
-		Customer string `json:"customer"`
-		Class    string `json:"class"`
-		Tier     int    `json:"tier"`
-		First    Millis `json:"first"`
-		Gap      Millis `json:"gap"`
+		Customer string  `json:"customer"`
+		Class    string  `json:"class"`
+		Tier     int     `json:"tier"`
+		First    Millis  `json:"first"`
+		Gap      Millis  `json:"gap"`
+		Share    float64 `json:"share,omitempty"`
+		Patience Millis  `json:"patience,omitempty"`
 	}
 
 	// Head is the first line of a trace.
@@ -123,6 +126,17 @@
 	return t, nil
 }
 
+// Thin returns the trace with only the given part, in tenths, of its requests, spread evenly.
+func (t *Trace) Thin(tenths int) *Trace {
+	out := &Trace{Head: t.Head}
+	for i, r := range t.Records {
+		if i*7%10 < tenths {
+			out.Records = append(out.Records, r)
+		}
+	}
+	return out
+}
+
 // Write writes a whole trace.
 func (t *Trace) Write(w io.Writer) error {
 	e := json.NewEncoder(w)
