live: test changes under cuts, freezes, races, restarts and lost disks

Nine instances behind proxies that can be cut silently: one cut off and one frozen across a change, a former leader behind a cut. Twelve operators race with equal versions; a change is resent after its leader is killed; 300 changes survive a kill of all; a second instance is lost right after a repair. Instances dial from their own address, so that a cut can tell them apart.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -21,9 +21,10 @@
 type (
 	// Pool is the connections to one peer.
 	Pool struct {
-		mu   sync.Mutex
-		t    *http.Transport
-		born time.Time
+		mu    sync.Mutex
+		t     *http.Transport
+		born  time.Time
+		local netip.Addr
 	}
 
 	// Pools holds one pool for each peer.
@@ -33,14 +34,17 @@
 	}
 )
 
-// New returns an empty pool.
-func New() *Pool {
-	return &Pool{t: Transport(), born: time.Now()}
+// New returns an empty pool that dials from a local address, or from any where that is not valid.
+func New(local netip.Addr) *Pool {
+	return &Pool{t: Transport(local), born: time.Now(), local: local}
 }
 
-// Transport returns a transport with bounded dialing and idle time.
-func Transport() *http.Transport {
+// Transport returns a transport with bounded dialing and idle time, that dials from a local address where that is valid.
+func Transport(local netip.Addr) *http.Transport {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	if local.IsValid() && !local.IsUnspecified() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
+	}
 	return &http.Transport{
 		DialContext:         d.DialContext,
 		MaxIdleConnsPerHost: maxIdle,
@@ -51,7 +55,7 @@
 
 // Once returns a transport that uses a new connection for each request, so that none is ever sent twice by the library.
 func Once() *http.Transport {
-	t := Transport()
+	t := Transport(netip.Addr{})
 	t.DisableKeepAlives = true
 	return t
 }
@@ -66,7 +70,7 @@
 	defer p.mu.Unlock()
 	if now.Sub(p.born) > maxAge {
 		p.t.CloseIdleConnections()
-		p.t, p.born = Transport(), now
+		p.t, p.born = Transport(p.local), now
 	}
 	return p.t
 }
@@ -75,7 +79,7 @@
 func (p *Pool) Renew() {
 	p.mu.Lock()
 	old := p.t
-	p.t, p.born = Transport(), time.Now()
+	p.t, p.born = Transport(p.local), time.Now()
 	p.mu.Unlock()
 	old.CloseIdleConnections()
 }
@@ -96,7 +100,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p = s.pools[addr]; p == nil {
-		p = New()
+		p = New(netip.Addr{})
 		s.pools[addr] = p
 	}
 	return p
--- /dev/null
+++ b/internal/live/config_test.go
@@ -0,0 +1,218 @@
+package live
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewheel/greengagewheel/internal/admin"
+	"github.com/greengagewheel/greengagewheel/internal/contr"
+	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/rig"
+)
+
+// status is what a caller with the key gets from an instance.
+func (f *fleet) status(in inst, key string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	s, err := in.chat(ctx, key, "quick", "", "ping [[out=2]]", false)
+	if err != nil {
+		return 0
+	}
+	return s.status
+}
+
+func TestChangesInForceOnNineInstances(t *testing.T) {
+	w := newWeb(t)
+	f := newFleetWith(t, rig.Options{Instances: 9, Replicas: 3, Proxy: w.proxy})
+	f.engine("e1", "a")
+	f.engine("e2", "b")
+	v := f.enter(contract("acme", callKey))
+	f.serving("m", 2)
+	Convey("With an instance cut off and one frozen, no instance that admits serves under the old contract", t, func() {
+		leader := f.Leader()
+		So(leader, ShouldNotBeNil)
+		cut, frozen := f.at(7), f.at(8)
+		So(f.status(cut, callKey), ShouldEqual, http.StatusOK)
+		So(f.status(frozen, callKey), ShouldEqual, http.StatusOK)
+		w.isolate(cut.Name, true)
+		frozen.Freeze()
+		out, err := f.Instances[0].Put(admin.Change{Expect: v, Author: "op", Wait: true, Contract: contract("acme", "new-key")})
+		So(err, ShouldBeNil)
+		So(out.Code, ShouldEqual, ctrl.OK)
+		So(out.Reason, ShouldEqual, "")
+		frozen.Thaw()
+		for i := range f.Instances {
+			in := f.at(i)
+			So(f.status(in, callKey), ShouldNotEqual, http.StatusOK)
+			if in.Name != cut.Name && in.Name != frozen.Name {
+				So(f.status(in, "new-key"), ShouldEqual, http.StatusOK)
+			}
+		}
+		So(cut.Ready(), ShouldBeFalse)
+		w.isolate(cut.Name, false)
+		for _, in := range []inst{cut, frozen} {
+			until(t, in.Name+" serves under the new contract", func() bool { return f.status(in, "new-key") == http.StatusOK })
+			So(f.status(in, callKey), ShouldEqual, http.StatusUnauthorized)
+		}
+	})
+	Convey("A former leader behind a cut lapses, changes go on, and nothing reverts once it is back", t, func() {
+		leader := f.Leader()
+		So(leader, ShouldNotBeNil)
+		var other *rig.Instance
+		for _, in := range f.Instances {
+			if in != leader {
+				other = in
+				break
+			}
+		}
+		w.isolate(leader.Name, true)
+		until(t, "the cut leader is not ready", func() bool { return !leader.Ready() })
+		var out admin.Changed
+		until(t, "a change is accepted without it", func() bool {
+			var err error
+			out, err = other.Put(admin.Change{Change: "c2", Author: "op", Wait: true, Contract: contract("second", "second-key")})
+			return err == nil && out.Code == ctrl.OK
+		})
+		So(f.status(inst{leader}, "new-key"), ShouldNotEqual, http.StatusOK)
+		w.isolate(leader.Name, false)
+		until(t, "the former leader serves the new contract", func() bool { return f.status(inst{leader}, "second-key") == http.StatusOK })
+		again, err := other.Put(admin.Change{Change: "c2", Author: "op", Contract: contract("second", "second-key")})
+		So(err, ShouldBeNil)
+		So(again.Version, ShouldEqual, out.Version)
+	})
+}
+
+func TestRacingOperatorsAndResentChanges(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	v := f.enter(contract("acme", callKey))
+	Convey("Of operators with equal versions exactly one wins; the others learn the version and the author", t, func() {
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		won, lost := 0, 0
+		for i := range 12 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				k := contract("acme", callKey)
+				k.Ceiling = int64(1000 + i)
+				out, err := f.Instances[i%3].Put(admin.Change{Expect: v, Author: fmt.Sprint("op", i), Contract: k})
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil && out.Code == ctrl.OK {
+					won++
+				}
+				if err == nil && out.Code == ctrl.Conflict && out.Version > v && out.Author != "" {
+					lost++
+				}
+			}()
+		}
+		wg.Wait()
+		So(won, ShouldEqual, 1)
+		So(lost, ShouldEqual, 11)
+	})
+	Convey("A change that is sent again gets the first answer and is applied once, also after the leader is killed", t, func() {
+		k := contract("resent", "resent-key")
+		first, err := f.Instances[0].Put(admin.Change{Change: "same", Author: "op", Contract: k})
+		So(err, ShouldBeNil)
+		leader := f.Leader()
+		leader.Kill()
+		var again admin.Changed
+		for _, in := range f.Instances {
+			if in == leader {
+				continue
+			}
+			again, err = in.Put(admin.Change{Change: "same", Author: "op", Contract: k})
+			So(err, ShouldBeNil)
+			So(again.Version, ShouldEqual, first.Version)
+			So(again.Code, ShouldEqual, ctrl.OK)
+		}
+		must(t, f.Boot(leader))
+		until(t, "the killed leader is ready", leader.Ready)
+	})
+	Convey("What breaks the rules of contracts is refused with its key and reason", t, func() {
+		for _, c := range []struct {
+			change func(*contr.Contract)
+			reason string
+		}{
+			{func(k *contr.Contract) { k.Classes[0].Share = 95 }, "guaranteed shares would add up to"},
+			{func(k *contr.Contract) { k.Ceiling = -1 }, "ceiling: is negative"},
+			{func(k *contr.Contract) { k.Classes[0].Tier = 9 }, "classes[0].tier: unknown tier 9"},
+			{func(k *contr.Contract) { k.Keys = []string{contr.Hash(callKey)} }, "keys: one of them is in the contract of acme"},
+		} {
+			k := contract("other", "other-key")
+			c.change(&k)
+			out, err := f.Instances[1].Put(admin.Change{Author: "op", Contract: k})
+			So(err, ShouldBeNil)
+			So(out.Code, ShouldEqual, ctrl.Invalid)
+			So(out.Reason, ShouldContainSubstring, c.reason)
+		}
+	})
+}
+
+func TestRestartLostDiskAndLossAfterRepair(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	f.enter(contract("acme", callKey))
+	put := func(in *rig.Instance, i int) admin.Changed {
+		k := contract(fmt.Sprint("c", i), fmt.Sprint("key-", i))
+		k.Classes = k.Classes[:1]
+		k.Classes[0].Share = 0
+		var out admin.Changed
+		until(t, "a change is accepted", func() bool {
+			var err error
+			out, err = in.Put(admin.Change{Change: fmt.Sprint("change", i), Author: "op", Contract: k})
+			return err == nil && out.Code == ctrl.OK
+		})
+		return out
+	}
+	has := func(in *rig.Instance, i int) bool {
+		status, err := in.Operate(http.MethodGet, fmt.Sprint("/v1/contracts/c", i), nil, nil)
+		return err == nil && status == http.StatusOK
+	}
+	const changes = 300
+	for i := range changes {
+		put(f.Instances[i%3], i)
+	}
+	Convey("After all instances are killed and started again, hundreds of changes are there", t, func() {
+		for _, in := range f.Instances {
+			in.Kill()
+		}
+		for _, in := range f.Instances {
+			must(t, f.Boot(in))
+		}
+		must(t, f.Ready())
+		for i := range changes {
+			So(has(f.Instances[i%3], i), ShouldBeTrue)
+		}
+	})
+	Convey("An instance that lost its disk joins anew, and another may be lost right after the repair", t, func() {
+		lost, next := f.Instances[1], f.Instances[2]
+		before, err := f.Instances[0].State()
+		So(err, ShouldBeNil)
+		old, _ := before.Status.Conf.Named(lost.Name)
+		lost.Kill()
+		So(os.RemoveAll(lost.Dir), ShouldBeNil)
+		put(f.Instances[0], changes)
+		must(t, f.Boot(lost))
+		until(t, "the new folder has a vote", func() bool {
+			v, err := f.Instances[0].State()
+			m, ok := v.Status.Conf.Named(lost.Name)
+			return err == nil && ok && m.ID != old.ID && m.Voter && v.Status.Conf.Voters() == 3
+		})
+		put(f.Instances[0], changes+1)
+		next.Kill()
+		So(os.RemoveAll(next.Dir), ShouldBeNil)
+		put(f.Instances[0], changes+2)
+		for _, i := range []int{0, changes / 2, changes, changes + 1, changes + 2} {
+			So(has(f.Instances[0], i), ShouldBeTrue)
+		}
+		must(t, f.Boot(next))
+		must(t, f.Ready())
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,7 +77,7 @@
 // New listens on the instance's addresses and puts its parts together.
 func New(c conf.Conf, log *zap.Logger) (*Node, error) {
 	now := time.Now()
-	n := &Node{conf: c, log: log, machine: ctrl.NewMachine(), links: peer.NewLinks(c.Keys.Secret), meter: meter.New()}
+	n := &Node{conf: c, log: log, machine: ctrl.NewMachine(), links: peer.NewLinks(c.Keys.Secret, c.Listen.Peers.Addr()), meter: meter.New()}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		return nil, err
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -16,6 +16,7 @@
 	// Links holds the connections to other instances and replaces them when one goes silent.
 	Links struct {
 		secret string
+		local  netip.Addr
 		mu     sync.RWMutex
 		links  map[netip.AddrPort]*link
 		sent   atomic.Int64
@@ -47,9 +48,9 @@
 	Read     call = Peer.Read
 )
 
-// NewLinks returns a set of links that authenticate with the shared secret.
-func NewLinks(secret string) *Links {
-	return &Links{secret: secret, links: map[netip.AddrPort]*link{}}
+// NewLinks returns a set of links that authenticate with the shared secret and dial from the local address, where it is valid.
+func NewLinks(secret string, local netip.Addr) *Links {
+	return &Links{secret: secret, local: local, links: map[netip.AddrPort]*link{}}
 }
 
 // Sent returns the bytes of message bodies sent and the number of calls made so far.
@@ -69,7 +70,7 @@
 	if k = l.links[addr]; k == nil {
 		k = &link{links: l}
 		k.client = NewPeerProtobufClient("http://"+addr.String(), k)
-		k.pool = conns.New()
+		k.pool = conns.New(l.local)
 		l.links[addr] = k
 	}
 	return k
