entry, sched: find hang-ups of whole answers, join by content, and say early that a cell has no endpoint

Found by new tests over three processes; each failed first. - A caller of a whole answer that hung up was found only when its run had ended (4,000 tokens generated for nobody): the look at the connection was made by a ticker that began anew with each token. It is now due by time. - A request sent again with its ID at another instance, whole instead of streamed, was refused as another request: the print was taken of the body as written. It is now taken of the body in its one form. - A call in a cell whose only endpoint had died waited its whole patience of 20 s. A cell without a live endpoint for 4 s now says so at once. - Two entries that asked for the same request took each other's verdict: the wait is now named by the asker too.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -60,8 +60,9 @@
 	}
 }
 
-func waitKey(id string, attempt int) string {
-	return fmt.Sprintf("%s#%d", id, attempt)
+// waitKey names a wait: several entries may ask for the same request.
+func waitKey(id, asker string, attempt int) string {
+	return fmt.Sprintf("%s#%s#%d", id, asker, attempt)
 }
 
 // Terms returns what the present contract says of an ask's class, in the scheduler's units.
@@ -87,7 +88,7 @@
 	if !ok {
 		return sched.Verdict{ID: a.ID, Attempt: a.Attempt, Verb: sched.Refused, Epoch: c.epoch, Code: sched.Over}
 	}
-	key := waitKey(a.ID, a.Attempt)
+	key := waitKey(a.ID, a.Entry, a.Attempt)
 	to := make(chan sched.Verdict, 1)
 	c.mu.Lock()
 	if m, ok := c.missed[key]; ok {
@@ -129,7 +130,7 @@
 func (c *Cell) deliver() {
 	out, wants := c.core.Take()
 	for _, v := range out {
-		key := waitKey(v.ID, v.Attempt)
+		key := waitKey(v.ID, v.Asker, v.Attempt)
 		to, ok := c.waiting[key]
 		switch {
 		case ok && v.Verb == sched.Wait:
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -90,7 +90,11 @@
 
 // launch joins the run of a request that was sent before, or begins one.
 func (e *Entry) launch(c *fiber.Ctx, cl *caller, req chat.Request, body []byte) (*run, *problem) {
-	print := fingerprint(req.Model, string(body))
+	sent, err := relay.Body(body)
+	if err != nil {
+		return nil, newProblem(http.StatusBadRequest, codeBad, chat.RanNo, "%s", err.Error())
+	}
+	print := fingerprint(c.Path(), string(sent))
 	id, given := requestID(cl.contract.Customer, c.Get(headerID))
 	if given {
 		if r := e.runs.join(id); r != nil {
@@ -100,10 +104,6 @@
 	if p := quarantined(e.opt.View(), print); p != nil {
 		return nil, p
 	}
-	sent, err := relay.Body(body)
-	if err != nil {
-		return nil, newProblem(http.StatusBadRequest, codeBad, chat.RanNo, "%s", err.Error())
-	}
 	ctx, stop := context.WithCancel(e.ctx)
 	r, fresh := e.runs.begin(id, print, stop)
 	if !fresh {
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -31,6 +31,8 @@
 	seen int
 	sent int
 	once bool
+	// looked is when the caller's connection was last looked at.
+	looked time.Time
 }
 
 // close ends the reading and counts how it ended.
@@ -56,6 +58,9 @@
 	t := time.NewTicker(hangCheck)
 	defer t.Stop()
 	for {
+		if r.overdue(time.Now()) && hungUp(r.conn) {
+			return nil, false, nil, true
+		}
 		events, ended, p, change := r.run.after(r.seen)
 		if len(events) > 0 || ended {
 			return events, ended, p, false
@@ -63,13 +68,19 @@
 		select {
 		case <-change:
 		case <-t.C:
-			if hungUp(r.conn) {
-				return nil, false, nil, true
-			}
 		}
 	}
 }
 
+// overdue reports whether it is time to look again whether the caller is there, and notes that it is looked.
+func (r *reader) overdue(now time.Time) bool {
+	if now.Sub(r.looked) < hangCheck {
+		return false
+	}
+	r.looked = now
+	return true
+}
+
 // await waits until the run has its first token or has ended; a problem by then can still be told by status.
 func (r *reader) await() *problem {
 	events, ended, p, gone := r.next()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -84,7 +84,7 @@
 	return &Relay{pools: conns.NewPools(), once: conns.Once()}
 }
 
-// Body returns a request's body as it goes to an engine: always streamed, with usage.
+// Body returns a request's body as it goes to an engine: always streamed, with usage, and in one form however the caller wrote it.
 func Body(original []byte) ([]byte, error) {
 	var m map[string]json.RawMessage
 	if err := json.Unmarshal(original, &m); err != nil {
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -19,8 +19,12 @@
 	// restShare is the part of a cell for classes without a guaranteed share.
 	restShare = 0.05
 	// lanePart is the part of the endpoints, one in lanePart, that suspects may run alone on at a time.
-	lanePart    = 4
-	serviceMean = 0.05
+	lanePart = 4
+	// retryEndpoint is when to come back to a cell without endpoints.
+	retryEndpoint = 5 * time.Second
+	serviceMean   = 0.05
+	// noEndpointAfter is how long a cell may be without a live endpoint before its requests are told so.
+	noEndpointAfter = 4 * time.Second
 )
 
 type (
@@ -61,6 +65,7 @@
 		wants   []Want
 		dirty   bool
 		picker  *route.Picker
+		alive   time.Time
 	}
 )
 
@@ -69,7 +74,7 @@
 	return &Core{
 		opt: opt, epoch: epoch, settled: now.Add(opt.Settle), flows: map[flowKey]*flow{}, busy: map[*flow]bool{},
 		eps: map[string]*route.Endpoint{}, queued: map[string]*item{}, running: map[string]*run{},
-		purses: map[string]*quota.Purse{}, service: firstService.Seconds(), restAt: now, picker: route.New(opt.Choice, opt.Seed),
+		purses: map[string]*quota.Purse{}, service: firstService.Seconds(), restAt: now, alive: now, picker: route.New(opt.Choice, opt.Seed),
 	}
 }
 
@@ -106,18 +111,33 @@
 		need: route.Need{Zone: a.Zone, Blocks: a.Blocks, Avoid: a.Avoid, Prefer: a.Prefer},
 	}
 	it.deadline = it.arrived.Add(t.Patience)
+	if c.deserted(now) {
+		c.refuse(&a, NoEndpoint, retryEndpoint)
+		return
+	}
 	c.enqueue(it)
 	c.makeRoom(now, it)
 	c.dispatch(now)
 }
 
+// deserted reports whether the cell has been without a live endpoint for long.
+func (c *Core) deserted(now time.Time) bool {
+	for _, e := range c.order {
+		if e.Live(now) {
+			c.alive = now
+			return false
+		}
+	}
+	return now.Sub(c.alive) > noEndpointAfter
+}
+
 // known answers an ask whose request is queued or runs already, and reports whether it did.
 func (c *Core) known(now time.Time, a *Ask) bool {
 	if it := c.queued[a.ID]; it != nil {
 		switch {
 		case it.ask.Entry == a.Entry && it.ask.Attempt == a.Attempt:
 			it.seen = now
-			c.out = append(c.out, Verdict{ID: a.ID, Attempt: a.Attempt, Verb: Wait, Epoch: c.epoch})
+			c.out = append(c.out, Verdict{ID: a.ID, Asker: a.Entry, Attempt: a.Attempt, Verb: Wait, Epoch: c.epoch})
 			return true
 		case it.ask.Entry != a.Entry && !a.Steal:
 			c.elsewhere(a, it.ask)
@@ -148,11 +168,11 @@
 }
 
 func (c *Core) elsewhere(a *Ask, at Ask) {
-	c.out = append(c.out, Verdict{ID: a.ID, Attempt: a.Attempt, Verb: Elsewhere, Epoch: c.epoch, Entry: at.Addr})
+	c.out = append(c.out, Verdict{ID: a.ID, Asker: a.Entry, Attempt: a.Attempt, Verb: Elsewhere, Epoch: c.epoch, Entry: at.Addr})
 }
 
 func (c *Core) grantAgain(a *Ask, r *run) {
-	c.out = append(c.out, Verdict{ID: a.ID, Attempt: a.Attempt, Verb: Granted, Epoch: c.epoch, Target: r.target})
+	c.out = append(c.out, Verdict{ID: a.ID, Asker: a.Entry, Attempt: a.Attempt, Verb: Granted, Epoch: c.epoch, Target: r.target})
 }
 
 // within refuses an ask that is beyond its contract's rates.
@@ -170,7 +190,7 @@
 }
 
 func (c *Core) refuse(a *Ask, code Code, retry time.Duration) {
-	c.out = append(c.out, Verdict{ID: a.ID, Attempt: a.Attempt, Verb: Refused, Epoch: c.epoch, Code: code, Retry: retry})
+	c.out = append(c.out, Verdict{ID: a.ID, Asker: a.Entry, Attempt: a.Attempt, Verb: Refused, Epoch: c.epoch, Code: code, Retry: retry})
 }
 
 func (c *Core) enqueue(it *item) {
@@ -374,9 +394,12 @@
 func (c *Core) tickQueue(now time.Time) {
 	var late []*item
 	solo := false
+	deserted := c.deserted(now)
 	for _, it := range c.queued {
 		solo = solo || it.ask.Solo
 		switch {
+		case deserted:
+			c.drop(now, it, NoEndpoint)
 		case now.Sub(it.seen) > lapse:
 			c.dequeue(it)
 		case now.After(it.deadline):
--- a/internal/sched/pick.go
+++ b/internal/sched/pick.go
@@ -207,7 +207,7 @@
 	it.flow.grants++
 	it.flow.served = now
 	c.out = append(c.out, Verdict{
-		ID: it.ask.ID, Attempt: it.ask.Attempt, Verb: Granted, Epoch: c.epoch, Target: r.target, Queued: now.Sub(it.arrived),
+		ID: it.ask.ID, Asker: it.ask.Entry, Attempt: it.ask.Attempt, Verb: Granted, Epoch: c.epoch, Target: r.target, Queued: now.Sub(it.arrived),
 	})
 }
 
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -98,9 +98,10 @@
 		Lookup bool           `json:"lookup,omitempty"`
 	}
 
-	// Verdict answers an ask.
+	// Verdict answers an ask of the entry Asker.
 	Verdict struct {
 		ID      string         `json:"id"`
+		Asker   string         `json:"asker"`
 		Attempt int            `json:"attempt"`
 		Verb    Verb           `json:"verb"`
 		Epoch   uint64         `json:"epoch"`
