--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,12 @@
 
 test:
 	$(GO) test -count=1 ./...
+
+slopes:
+	$(GO) run ./cmd/bench slopes
+
+bench:
+	$(GO) run ./cmd/bench table
+
+shares:
+	@$(GO) run ./cmd/bench shares
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/jessevdk/go-flags"
 
@@ -93,6 +94,92 @@
 	return bench.Row{Run: run, Report: rep}, nil
 }
 
+type slopesCmd struct {
+	Only []string `long:"only" description:"sched, log, spread, contracts, force, gap or overhead; may be repeated; all if not given"`
+}
+
+// Execute measures the slopes and prints them.
+func (c *slopesCmd) Execute([]string) error {
+	bin, err := os.MkdirTemp("", "bench-bin")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(bin) }()
+	if err := rig.Build(bin, "."); err != nil {
+		return err
+	}
+	parts := []struct {
+		name string
+		run  func(bin string) error
+	}{
+		{"sched", func(string) error { return printSlopes(bench.SchedSlopes(), nil) }},
+		{"log", printLog},
+		{"spread", func(bin string) error { return printSlopes(bench.SpreadSlopes(bin)) }},
+		{"contracts", func(bin string) error { return printSlopes(bench.ContractSlopes(bin)) }},
+		{"force", printForce},
+		{"gap", printGap},
+		{"overhead", printOverhead},
+	}
+	for _, p := range parts {
+		if len(c.Only) > 0 && !slices.Contains(c.Only, p.name) {
+			continue
+		}
+		if err := p.run(bin); err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+	}
+	return nil
+}
+
+func printSlopes(all []bench.Slope, err error) error {
+	for _, s := range all {
+		s.Print(os.Stdout)
+	}
+	return err
+}
+
+func printLog(string) error {
+	for _, n := range []int{3, 5} {
+		for _, w := range []int{1, 64} {
+			r, err := bench.LogRate(n, w)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("log: %d replicas, %d writers: %.0f commits/s, median %s, 99%% %s\n", r.Replicas, r.Writers, r.PerSecond, r.Median, r.P99)
+		}
+	}
+	s, err := bench.Recovery()
+	return printSlopes([]bench.Slope{s}, err)
+}
+
+func printForce(bin string) error {
+	for _, kill := range []bool{false, true} {
+		f, err := bench.InForceEverywhere(bin, kill)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("in force on 9 instances, 200 changes, %d kills of the leader: median %s, 99%% %s, max %s\n", f.Kills, f.Median, f.P99, f.Max)
+	}
+	return nil
+}
+
+func printGap(bin string) error {
+	gaps, err := bench.CommitGap(bin, 10)
+	bench.PrintSpans(os.Stdout, "time without a commit at a kill of the leader", gaps)
+	return err
+}
+
+func printOverhead(bin string) error {
+	o, err := bench.MeasureOverhead(bin)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("first token, median: direct %s, routed %s, added %s\n", o.Direct, o.Routed, o.Routed-o.Direct)
+	fmt.Printf("load of 20-token streams over %d instances: %.0f requests/s, %s of a core and %.0f bytes between instances a request\n",
+		o.Entries, o.Requests, o.PerRequest, o.ControlBytes)
+	return nil
+}
+
 func read(file string) (*trace.Trace, error) {
 	f, err := os.Open(file)
 	if err != nil {
@@ -111,6 +198,7 @@
 		}
 	}
 	add("gen", "Write the shipped traces", &genCmd{})
+	add("slopes", "Measure the slopes from which capacity is worked out", &slopesCmd{})
 	add("table", "Measure traces under faults against baselines", &tableCmd{})
 	_, err := p.Parse()
 	var f *flags.Error
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/broker"
+	"github.com/greengagewheel/greengagewheel/internal/cell"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/meter"
@@ -216,11 +217,7 @@
 func (a *Admin) cells(c *fiber.Ctx) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	var names []string
-	for n := range a.opt.View().Cells {
-		names = append(names, n)
-	}
-	return c.JSON(a.opt.Broker.Show(ctx, names))
+	return c.JSON(a.opt.Broker.Show(ctx, cell.Names(a.opt.View())))
 }
 
 func (a *Admin) state(c *fiber.Ctx) error {
--- /dev/null
+++ b/internal/bench/overhead.go
@@ -0,0 +1,163 @@
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/greengagewheel/greengagewheel/internal/contr"
+	"github.com/greengagewheel/greengagewheel/internal/fault"
+	"github.com/greengagewheel/greengagewheel/internal/rig"
+)
+
+const (
+	overheadRequests = 300
+	overheadKey      = "key-for-overhead"
+	loadFor          = 8 * time.Second
+	loadWriters      = 64
+	loadTokens       = 20
+)
+
+// Overhead is what the router adds to the first token, and what it spends for a request and a token.
+type Overhead struct {
+	Direct, Routed time.Duration
+	Requests       float64
+	PerRequest     time.Duration
+	ControlBytes   float64
+	Entries        int
+}
+
+// MeasureOverhead compares first tokens through the router with those of the stand-in itself, and loads the router from three instances.
+func MeasureOverhead(bin string) (Overhead, error) {
+	var o Overhead
+	r, stop, err := newRig(bin, 3, 3)
+	if err != nil {
+		return o, err
+	}
+	defer stop()
+	var eng []rig.Standin
+	for i := range 4 {
+		e, err := r.Standin("engine", fmt.Sprint("e", i), zone(i), "m", "--step", "1ms", "--per-run", "0s", "--slots", "64")
+		if err != nil {
+			return o, err
+		}
+		eng = append(eng, e)
+	}
+	k := contr.Contract{Customer: "load", Keys: []string{contr.Hash(overheadKey)}, Classes: []contr.Class{{Name: "c", Tier: 1}}}
+	if _, err := r.Enter(k); err != nil {
+		return o, err
+	}
+	if err := rig.Until("engines are live", func() bool { return r.Instances[0].Live("m") == 4 }); err != nil {
+		return o, err
+	}
+	if o.Direct, err = firstToken(eng[0].Addr); err != nil {
+		return o, err
+	}
+	if o.Routed, err = firstToken(r.Instances[1].Callers); err != nil {
+		return o, err
+	}
+	return o, o.load(r)
+}
+
+// load keeps the router busy and divides its processor time by the requests.
+func (o *Overhead) load(r *rig.Rig) error {
+	before, err := total(r)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), loadFor)
+	defer cancel()
+	counts := make([]int, loadWriters)
+	start := time.Now()
+	var wg conc.WaitGroup
+	for w := range loadWriters {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				if _, err := once(r.Instances[w%3].Callers, loadTokens); err == nil {
+					counts[w]++
+				}
+			}
+		})
+	}
+	wg.Wait()
+	took := time.Since(start)
+	after, err := total(r)
+	if err != nil {
+		return err
+	}
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	if n == 0 {
+		return fault.New("load", "", "no request was answered")
+	}
+	o.Requests = float64(n) / took.Seconds()
+	o.PerRequest = (after.cpu - before.cpu) / time.Duration(n)
+	o.ControlBytes = (after.bytes - before.bytes) / 2 / float64(n)
+	o.Entries = 3
+	return nil
+}
+
+func total(r *rig.Rig) (usage, error) {
+	var sum usage
+	for _, in := range r.Instances {
+		u, err := usageOf(in)
+		if err != nil {
+			return sum, err
+		}
+		sum.cpu += u.cpu
+		sum.bytes += u.bytes
+	}
+	return sum, nil
+}
+
+func firstToken(to netip.AddrPort) (time.Duration, error) {
+	var all []time.Duration
+	for range overheadRequests {
+		d, err := once(to, 1)
+		if err != nil {
+			return 0, err
+		}
+		all = append(all, d)
+	}
+	return spanQuantile(all, 0.5), nil
+}
+
+// once sends one streamed request and returns the time to its first event.
+func once(to netip.AddrPort, tokens int) (time.Duration, error) {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"[[out=%d]]"}]}`, tokens, tokens)
+	q, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/v1/chat/completions", to), bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, err
+	}
+	q.Header.Set("Authorization", "Bearer "+overheadKey)
+	start := time.Now()
+	resp, err := loadClient.Do(q)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fault.New("load", to.String(), "status %d", resp.StatusCode)
+	}
+	sc := bufio.NewScanner(resp.Body)
+	var first time.Duration
+	for sc.Scan() {
+		if first == 0 && strings.HasPrefix(sc.Text(), "data:") {
+			first = time.Since(start)
+		}
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return first, sc.Err()
+}
+
+var loadClient = &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: loadWriters}}
--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -123,16 +124,14 @@
 }
 
 func (s *Cells) renew(ctx context.Context) {
-	s.mu.RLock()
-	held := len(s.cells)
-	s.mu.RUnlock()
-	if held == 0 {
+	held := s.Names()
+	if len(held) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	sent := time.Now()
-	res, err := s.opt.Prop.Propose(ctx, ctrl.Command{Renew: &ctrl.Renew{Boot: s.opt.Self.Boot}})
+	res, err := s.opt.Prop.Propose(ctx, ctrl.Command{Renew: &ctrl.Renew{Boot: s.opt.Self.Boot, Cells: held}})
 	if err != nil || res.Code != ctrl.OK {
 		s.drop(time.Now())
 		return
@@ -207,6 +206,22 @@
 	return a, nil
 }
 
+// Name names the cell of a model or service in a region.
+func Name(what, region string) string {
+	return what + "@" + region
+}
+
+// Names returns the names of all cells of a configuration; a lease that is no cell's has no region.
+func Names(v *ctrl.View) []string {
+	var out []string
+	for n := range v.Cells {
+		if strings.Contains(n, "@") {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // Names returns the names of the held cells.
 func (s *Cells) Names() []string {
 	s.mu.RLock()
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -25,6 +25,7 @@
 		t     *http.Transport
 		born  time.Time
 		local netip.Addr
+		count *Count
 	}
 
 	// Pools holds one pool for each peer.
@@ -34,9 +35,19 @@
 	}
 )
 
-// New returns an empty pool that dials from a local address, or from any where that is not valid.
-func New(local netip.Addr) *Pool {
-	return &Pool{t: Transport(local), born: time.Now(), local: local}
+// New returns an empty pool that dials from a local address, or from any where that is not valid; count may be nil.
+func New(local netip.Addr, count *Count) *Pool {
+	p := &Pool{local: local, count: count}
+	p.fill(time.Now())
+	return p
+}
+
+// fill gives the pool a new transport.
+func (p *Pool) fill(now time.Time) {
+	p.t, p.born = Transport(p.local), now
+	if p.count != nil {
+		p.t.DialContext = p.count.dialer(p.t.DialContext)
+	}
 }
 
 // Transport returns a transport with bounded dialing and idle time, that dials from a local address where that is valid.
@@ -70,7 +81,7 @@
 	defer p.mu.Unlock()
 	if now.Sub(p.born) > maxAge {
 		p.t.CloseIdleConnections()
-		p.t, p.born = Transport(p.local), now
+		p.fill(now)
 	}
 	return p.t
 }
@@ -79,7 +90,7 @@
 func (p *Pool) Renew() {
 	p.mu.Lock()
 	old := p.t
-	p.t, p.born = Transport(p.local), time.Now()
+	p.fill(time.Now())
 	p.mu.Unlock()
 	old.CloseIdleConnections()
 }
@@ -100,7 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p = s.pools[addr]; p == nil {
-		p = New(netip.Addr{})
+		p = New(netip.Addr{}, nil)
 		s.pools[addr] = p
 	}
 	return p
--- a/internal/ctrl/command.go
+++ b/internal/ctrl/command.go
@@ -76,10 +76,11 @@
 		Holder Instance `json:"holder"`
 	}
 
-	// Renew renews all leases of a boot, or gives them up.
+	// Renew renews the named leases of a boot, or gives all of its leases up.
 	Renew struct {
-		Boot    string `json:"boot"`
-		Release bool   `json:"release,omitempty"`
+		Boot    string   `json:"boot"`
+		Cells   []string `json:"cells,omitempty"`
+		Release bool     `json:"release,omitempty"`
 	}
 
 	// Slice takes a part of a customer's ceiling for a holder, or returns what was not spent, in micro-euros.
--- a/internal/ctrl/machine.go
+++ b/internal/ctrl/machine.go
@@ -57,8 +57,8 @@
 	case c.Lease != nil:
 		m.heard[c.Lease.Cell] = now
 	case c.Renew != nil && !c.Renew.Release:
-		for cell, l := range m.st.Leases {
-			if l.Holder.Boot == c.Renew.Boot {
+		for _, cell := range c.Renew.Cells {
+			if l := m.st.Leases[cell]; l != nil && l.Holder.Boot == c.Renew.Boot {
 				m.heard[cell] = now
 			}
 		}
--- /dev/null
+++ b/internal/engctl/doc.go
@@ -0,0 +1,2 @@
+// Package engctl carries orders out at the engines, under a lease from the log.
+package engctl
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/broker"
+	"github.com/greengagewheel/greengagewheel/internal/cell"
 	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
@@ -191,7 +192,7 @@
 
 // cell names the cell of a model or service in this instance's region.
 func (e *Entry) cell(what string) string {
-	return what + "@" + e.opt.Self.Region
+	return cell.Name(what, e.opt.Self.Region)
 }
 
 // requestID returns the name of a request among its customer's: its own ID, a hash of an unfit one, or a new one.
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -10,10 +11,17 @@
 	// silentCaller is how long data to a caller may stay unacknowledged before its connection counts as lost.
 	silentCaller = 10 * time.Second
 	keepAlive    = 5 * time.Second
+	lingerTime   = time.Second
+	lingerBytes  = 64 << 20
 	// tcpUserTimeout is the option TCP_USER_TIMEOUT of Linux, which package syscall does not name.
 	tcpUserTimeout = 0x12
 )
 
+// conn is a caller's connection.
+type conn struct {
+	*net.TCPConn
+}
+
 // listener sets up the connections of callers so that silent ones are found.
 type listener struct {
 	net.Listener
@@ -30,11 +38,41 @@
 	if err != nil {
 		return nil, err
 	}
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetKeepAlivePeriod(keepAlive)
-		limitSilence(t)
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	_ = t.SetKeepAlivePeriod(keepAlive)
+	limitSilence(t)
+	return conn{t}, nil
+}
+
+// Close closes the connection. A caller that is still sending, as one whose body was refused for its size, is
+// heard out for a while first, so that it reads the answer before its connection is reset.
+func (c conn) Close() error {
+	if !unread(c.TCPConn) {
+		return c.TCPConn.Close()
 	}
-	return c, nil
+	_ = c.CloseWrite()
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.TCPConn, lingerBytes))
+	return c.TCPConn.Close()
+}
+
+// unread reports whether bytes from the caller wait to be read.
+func unread(t *net.TCPConn) bool {
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	_ = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waits = err == nil && n > 0
+		return true
+	})
+	return waits
 }
 
 func limitSilence(t *net.TCPConn) {
--- a/internal/live/fleet_test.go
+++ b/internal/live/fleet_test.go
@@ -167,6 +167,15 @@
 	return ask(q)
 }
 
+// chatBound sends a whole chat request with a bound on its output.
+func (in inst) chatBound(key, prompt string, bound int) (said, error) {
+	body := fmt.Sprintf(`{"model":"m","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, bound, prompt)
+	q, _ := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/v1/chat/completions", in.Callers), strings.NewReader(body))
+	q.Header.Set("Authorization", "Bearer "+key)
+	q.Header.Set("X-Class", "quick")
+	return ask(q)
+}
+
 // call sends a request to a plain service through an instance.
 func (in inst) call(ctx context.Context, method, path, key, body string) (said, error) {
 	q, _ := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s/v1/services/bookings%s", in.Callers, path), strings.NewReader(body))
@@ -262,3 +271,9 @@
 	_ = json.NewDecoder(resp.Body).Decode(&out)
 	return out
 }
+
+// freeListen returns a loopback address with a port that is free now.
+func freeListen() (string, error) {
+	a, err := rig.FreeAddr("127.0.0.1")
+	return a.String(), err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/cell"
 	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/engctl"
 	"github.com/greengagewheel/greengagewheel/internal/entry"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
 	"github.com/greengagewheel/greengagewheel/internal/group"
@@ -61,6 +62,7 @@
 		broker  *broker.Broker
 		entry   *entry.Entry
 		admin   *admin.Admin
+		orders  *engctl.Executor
 		meter   *meter.Meter
 		peers   *http.Server
 		lists   listeners
@@ -112,6 +114,7 @@
 		*l.to = got
 	}
 	n.lists.callers = entry.Listener(n.lists.callers)
+	n.lists.peers = n.links.Count().Listener(n.lists.peers)
 	return nil
 }
 
@@ -185,6 +188,7 @@
 		Self: n.self, Limits: n.conf.Limits, Endpoint: n.conf.Keys.Endpoint, Secret: n.conf.Keys.Secret,
 		View: n.spread.View, Fresh: n.fresh, Broker: n.broker, Quorum: n.quorum, Meter: n.meter, Log: n.log,
 	})
+	n.orders = engctl.New(engctl.Options{Self: n.self, Log: n.quorum, Engines: n.engines, Events: n.log})
 	n.admin = admin.New(admin.Options{
 		Self: n.self, Key: n.conf.Keys.Operator, View: n.spread.View, Age: n.spread.Age, Ready: n.entry.Ready,
 		Quorum: n.quorum, Broker: n.broker, Meter: n.meter, Log: n.log,
@@ -221,6 +225,17 @@
 	return mux
 }
 
+// engines returns the endpoints that the schedulers know, by name.
+func (n *Node) engines(ctx context.Context) map[string]sched.EndpointState {
+	out := map[string]sched.EndpointState{}
+	for _, st := range n.broker.Show(ctx, cell.Names(n.spread.View())) {
+		for _, e := range st.Endpoints {
+			out[e.Name] = e
+		}
+	}
+	return out
+}
+
 // Callers returns the address that callers use.
 func (n *Node) Callers() netip.AddrPort {
 	return addrOf(n.lists.callers)
@@ -252,6 +267,9 @@
 	n.wg.Go(func() { n.cells.Run(n.ctx) })
 	n.wg.Go(func() { n.enlist(n.ctx) })
 	n.wg.Go(func() { n.gauges(n.ctx) })
+	if n.group != nil {
+		n.wg.Go(func() { n.orders.Run(n.ctx) })
+	}
 	var err error
 	select {
 	case <-ctx.Done():
@@ -360,9 +378,10 @@
 		n.meter.Gauge("config_age_seconds", n.spread.Age(time.Now()).Seconds())
 		n.meter.Gauge("requests_in_progress", float64(n.entry.Busy()))
 		n.meter.Gauge("cells_held", float64(len(n.cells.Names())))
-		size, calls := n.links.Sent()
-		n.meter.Gauge("peer_bytes_sent", float64(size))
-		n.meter.Gauge("peer_calls", float64(calls))
+		in, out := n.links.Count().Bytes()
+		n.meter.Gauge("peer_bytes_received", float64(in))
+		n.meter.Gauge("peer_bytes_sent", float64(out))
+		n.meter.Gauge("peer_calls", float64(n.links.Calls()))
 	}
 }
 
@@ -387,7 +406,7 @@
 
 func (n *Node) served(names []string) bool {
 	for _, name := range names {
-		if !n.spread.View().Cells[name+"@"+n.self.Region] {
+		if !n.spread.View().Cells[cell.Name(name, n.self.Region)] {
 			return false
 		}
 	}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -19,7 +19,7 @@
 		local  netip.Addr
 		mu     sync.RWMutex
 		links  map[netip.AddrPort]*link
-		sent   atomic.Int64
+		count  conns.Count
 		calls  atomic.Int64
 	}
 
@@ -53,9 +53,14 @@
 	return &Links{secret: secret, local: local, links: map[netip.AddrPort]*link{}}
 }
 
-// Sent returns the bytes of message bodies sent and the number of calls made so far.
-func (l *Links) Sent() (size, calls int64) {
-	return l.sent.Load(), l.calls.Load()
+// Count returns the counter of the bytes between instances.
+func (l *Links) Count() *conns.Count {
+	return &l.count
+}
+
+// Calls returns the number of calls made so far.
+func (l *Links) Calls() int64 {
+	return l.calls.Load()
 }
 
 func (l *Links) to(addr netip.AddrPort) *link {
@@ -70,7 +75,7 @@
 	if k = l.links[addr]; k == nil {
 		k = &link{links: l}
 		k.client = NewPeerProtobufClient("http://"+addr.String(), k)
-		k.pool = conns.New(l.local)
+		k.pool = conns.New(l.local, &l.count)
 		l.links[addr] = k
 	}
 	return k
@@ -91,7 +96,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	l.sent.Add(int64(len(f.Body)))
 	l.calls.Add(1)
 	k := l.to(to)
 	out, err := m(k.client, ctx, f)
--- a/internal/sched/show.go
+++ b/internal/sched/show.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"net/netip"
 	"sort"
 	"time"
 )
@@ -20,17 +21,19 @@
 
 	// EndpointState is what the scheduler knows of an endpoint.
 	EndpointState struct {
-		Name    string        `json:"name"`
-		Zone    string        `json:"zone"`
-		Live    bool          `json:"live"`
-		Leaving bool          `json:"leaving,omitempty"`
-		Slow    bool          `json:"slow,omitempty"`
-		Running int           `json:"running"`
-		Limit   float64       `json:"limit"`
-		Slots   int           `json:"slots"`
-		Granted int           `json:"granted"`
-		Gap     time.Duration `json:"gap"`
-		Age     time.Duration `json:"age"`
+		Name    string         `json:"name"`
+		Addr    netip.AddrPort `json:"addr"`
+		Zone    string         `json:"zone"`
+		Fences  bool           `json:"fences,omitempty"`
+		Live    bool           `json:"live"`
+		Leaving bool           `json:"leaving,omitempty"`
+		Slow    bool           `json:"slow,omitempty"`
+		Running int            `json:"running"`
+		Limit   float64        `json:"limit"`
+		Slots   int            `json:"slots"`
+		Granted int            `json:"granted"`
+		Gap     time.Duration  `json:"gap"`
+		Age     time.Duration  `json:"age"`
 	}
 
 	// State is a view of a cell for operators.
@@ -62,7 +65,7 @@
 	})
 	for _, e := range c.order {
 		st.Endpoints = append(st.Endpoints, EndpointState{
-			Name: e.Ann.Name, Zone: e.Ann.Zone, Live: e.Live(now), Leaving: e.Ann.Leaving, Slow: e.Slow,
+			Name: e.Ann.Name, Addr: e.Ann.Addr, Fences: e.Ann.Fences, Zone: e.Ann.Zone, Live: e.Live(now), Leaving: e.Ann.Leaving, Slow: e.Slow,
 			Running: e.Running, Limit: e.Limit, Slots: e.Ann.Slots, Granted: e.Granted, Gap: e.Gap, Age: now.Sub(e.Seen),
 		})
 	}
