--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -189,6 +189,13 @@
 	return trace.Read(f)
 }
 
+type sharesCmd struct{}
+
+// Execute prints the shares of the code.
+func (c *sharesCmd) Execute([]string) error {
+	return bench.Shares(os.Stdout, ".")
+}
+
 func main() {
 	p := flags.NewNamedParser("bench", flags.HelpFlag|flags.PassDoubleDash)
 	add := func(name, short string, data any) {
@@ -199,6 +206,7 @@
 	}
 	add("gen", "Write the shipped traces", &genCmd{})
 	add("slopes", "Measure the slopes from which capacity is worked out", &slopesCmd{})
+	add("shares", "Print the share of tests and of decisions in the code", &sharesCmd{})
 	add("table", "Measure traces under faults against baselines", &tableCmd{})
 	_, err := p.Parse()
 	var f *flags.Error
--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,97 @@
+package claim
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed, so that each run takes the same cases; -rapid.seed on the command line goes first.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261203")
+	}
+	os.Exit(m.Run())
+}
+
+// attempt is one holder's way with a claim: it may send only once its open was confirmed, and voids only while unsent.
+type attempt struct {
+	nonce  string
+	print  string
+	opened bool
+	sent   bool
+	told   string
+}
+
+// TestClaims lets attempts of one key act in random order, with confirmations lost and commands doubled and late.
+func TestClaims(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var rec *Record
+		var late []Cmd
+		runs := 0
+		attempts := make([]*attempt, rapid.IntRange(1, 5).Draw(rt, "attempts"))
+		for i := range attempts {
+			attempts[i] = &attempt{nonce: fmt.Sprint("n", i), print: "p"}
+		}
+		apply := func(c Cmd) (Record, bool) {
+			next, ok := Next(rec, c, 1)
+			if ok {
+				rec = &next
+			}
+			return next, ok
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			a := attempts[rapid.IntRange(0, len(attempts)-1).Draw(rt, "who")]
+			c := Cmd{Customer: "c", Key: "k", Nonce: a.nonce, Print: a.print}
+			switch rapid.IntRange(0, 5).Draw(rt, "what") {
+			case 0:
+				if a.opened || a.told != "" {
+					continue
+				}
+				c.To = Open
+				got, ok := apply(c)
+				if rapid.Bool().Draw(rt, "lost") {
+					a.told = "no"
+					continue
+				}
+				a.opened = ok && got.Nonce == a.nonce && got.State == Open
+			case 1:
+				if a.opened && !a.sent && a.told == "" {
+					a.sent = true
+					runs++
+				}
+			case 2:
+				if a.told == "no" || a.opened && !a.sent {
+					a.told = "no"
+					c.To = Void
+					apply(c)
+				}
+			case 3:
+				if a.sent {
+					c.To, c.Answer = Done, &Answer{Status: 200}
+					apply(c)
+					late = append(late, c)
+				}
+			case 4:
+				c.To = Doubt
+				apply(c)
+			case 5:
+				if len(late) > 0 {
+					apply(late[rapid.IntRange(0, len(late)-1).Draw(rt, "late")])
+				}
+			}
+			if runs > 1 {
+				rt.Fatalf("the call ran %d times", runs)
+			}
+			for _, b := range attempts {
+				if b.told == "no" && b.sent {
+					rt.Fatalf("%s was told that it did not run, and ran", b.nonce)
+				}
+			}
+		}
+	})
+}
--- a/internal/conf/sched.go
+++ b/internal/conf/sched.go
@@ -11,7 +11,6 @@
 type Sched struct {
 	Queue  int      `toml:"queue"`
 	Gap    Duration `toml:"gap"`
-	First  Duration `toml:"first"`
 	Settle Duration `toml:"settle"`
 	Policy string   `toml:"policy"`
 	Choice string   `toml:"choice"`
@@ -21,7 +20,6 @@
 	return Sched{
 		Queue:  20_000,
 		Gap:    Duration(36 * time.Millisecond),
-		First:  Duration(680 * time.Millisecond),
 		Settle: Duration(500 * time.Millisecond),
 		Policy: "contract",
 		Choice: "load",
@@ -34,8 +32,6 @@
 		return "queue", errors.New("must be 1 to 1000000 requests")
 	case s.Gap == 0:
 		return "gap", errors.New("must be above 0s")
-	case s.First == 0:
-		return "first", errors.New("must be above 0s")
 	case s.Settle.Std() > 2*time.Second:
 		return "settle", errors.New("must be at most 2s")
 	case s.Policy != "contract" && s.Policy != "fifo":
