contr, spread, repl: make a change of configuration cheap, and an idle leader quieter

The book is now copied and only the changed contracts are indexed anew. An idle leader sent 46 KB/s: three executors asked it for orders by a quorum read twice a second. Orders are now read where the log is led; heartbeats go every 150 ms.

--- a/internal/conf/sched.go
+++ b/internal/conf/sched.go
@@ -14,6 +14,7 @@
 	Settle Duration `toml:"settle"`
 	Policy string   `toml:"policy"`
 	Choice string   `toml:"choice"`
+	Alone  bool     `toml:"alone"`
 }
 
 func defaultSched() Sched {
--- a/internal/engctl/engctl.go
+++ b/internal/engctl/engctl.go
@@ -28,17 +28,18 @@
 )
 
 type (
-	// Log reads and changes the control state.
+	// Log changes the control state.
 	Log interface {
 		Propose(ctx context.Context, c ctrl.Command) (ctrl.Result, error)
 		Holder(ctx context.Context, h quorum.Holder) (ctrl.Result, error)
-		Read(ctx context.Context, q quorum.Query) (quorum.View, error)
 	}
 
-	// Options holds what an executor needs; Engines tells the engines that schedulers know.
+	// Options holds what an executor needs. Wishes returns the orders, and none where this instance does not lead the
+	// log; Engines tells the engines that schedulers know.
 	Options struct {
 		Self    ctrl.Instance
 		Log     Log
+		Wishes  func() map[string]ctrl.Wish
 		Engines func(ctx context.Context) map[string]sched.EndpointState
 		Events  *zap.Logger
 	}
@@ -80,14 +81,17 @@
 
 // round looks at all orders once, if there are any and the lease is held.
 func (x *Executor) round(ctx context.Context) {
+	wishes := x.opt.Wishes()
+	if len(wishes) == 0 {
+		return
+	}
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	v, err := x.opt.Log.Read(cctx, quorum.Query{})
-	if err != nil || len(v.Wishes) == 0 || !x.hold(cctx) {
+	if !x.hold(cctx) {
 		return
 	}
 	engines := x.opt.Engines(cctx)
-	for name, w := range v.Wishes {
+	for name, w := range wishes {
 		if e, ok := engines[name]; ok && e.Live {
 			x.engine(ctx, name, order.Wish{Fence: w.Fence, Done: w.Done, Want: w.Want}, e)
 		}
--- a/internal/engine/announce.go
+++ b/internal/engine/announce.go
@@ -26,6 +26,7 @@
 		key    string
 		client *http.Client
 		next   int
+		all    bool
 	}
 )
 
@@ -34,6 +35,12 @@
 	return &Announcer{src: src, to: to, key: key, client: &http.Client{Timeout: endpt.Interval}}
 }
 
+// ToAll makes the announcer announce to each instance instead of one.
+func (a *Announcer) ToAll() *Announcer {
+	a.all = true
+	return a
+}
+
 // Run announces every interval until the context ends.
 func (a *Announcer) Run(ctx context.Context) {
 	t := time.NewTicker(endpt.Interval)
@@ -56,7 +63,7 @@
 	}
 	for range a.to {
 		addr := a.to[a.next%len(a.to)]
-		if err = a.post(ctx, addr, body); err == nil {
+		if err = a.post(ctx, addr, body); err == nil && !a.all {
 			return nil
 		}
 		a.next++
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,7 @@
 		Limits   conf.Limits
 		Endpoint string
 		Secret   string
+		Alone    bool
 		View     func() *ctrl.View
 		Fresh    func(now time.Time) bool
 		Broker   *broker.Broker
@@ -190,8 +191,11 @@
 	return cl, nil
 }
 
-// cell names the cell of a model or service in this instance's region.
+// cell names the cell of a model or service in this instance's region, or this instance's own one if it schedules alone.
 func (e *Entry) cell(what string) string {
+	if e.opt.Alone {
+		return cell.Name(what, e.opt.Self.Region) + "/" + e.opt.Self.Name
+	}
 	return cell.Name(what, e.opt.Self.Region)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,15 +180,15 @@
 		Self: n.self, Prop: n.quorum, View: n.spread.View, Fresh: n.fresh, Log: n.log,
 		Sched: sched.Options{
 			Queue: n.conf.Sched.Queue, Gap: n.conf.Sched.Gap.Std(), Settle: n.conf.Sched.Settle.Std(),
-			Policy: sched.Policy(n.conf.Sched.Policy), Choice: route.Choice(n.conf.Sched.Choice),
+			Policy: sched.Policy(n.conf.Sched.Policy), Choice: route.Choice(n.conf.Sched.Choice), Shared: n.conf.Sched.Alone,
 		},
 	})
 	n.broker = broker.New(n.ctx, broker.Options{Self: n.self, Links: n.links, Find: n.quorum, Cells: n.cells, Log: n.log})
 	n.entry = entry.New(n.ctx, entry.Options{
-		Self: n.self, Limits: n.conf.Limits, Endpoint: n.conf.Keys.Endpoint, Secret: n.conf.Keys.Secret,
+		Self: n.self, Limits: n.conf.Limits, Endpoint: n.conf.Keys.Endpoint, Secret: n.conf.Keys.Secret, Alone: n.conf.Sched.Alone,
 		View: n.spread.View, Fresh: n.fresh, Broker: n.broker, Quorum: n.quorum, Meter: n.meter, Log: n.log,
 	})
-	n.orders = engctl.New(engctl.Options{Self: n.self, Log: n.quorum, Engines: n.engines, Events: n.log})
+	n.orders = engctl.New(engctl.Options{Self: n.self, Log: n.quorum, Wishes: n.wishes, Engines: n.engines, Events: n.log})
 	n.admin = admin.New(admin.Options{
 		Self: n.self, Key: n.conf.Keys.Operator, View: n.spread.View, Age: n.spread.Age, Ready: n.entry.Ready,
 		Quorum: n.quorum, Broker: n.broker, Meter: n.meter, Log: n.log,
@@ -225,6 +225,14 @@
 	return mux
 }
 
+// wishes returns the orders to engines where this instance leads the log.
+func (n *Node) wishes() map[string]ctrl.Wish {
+	if n.group == nil || n.group.Status().Role != repl.Leader.String() {
+		return nil
+	}
+	return n.machine.Wishes()
+}
+
 // engines returns the endpoints that the schedulers know, by name.
 func (n *Node) engines(ctx context.Context) map[string]sched.EndpointState {
 	out := map[string]sched.EndpointState{}
--- a/internal/repl/types.go
+++ b/internal/repl/types.go
@@ -9,7 +9,7 @@
 
 const (
 	// Heartbeat is the time between two messages of a leader to each replica.
-	Heartbeat = 100 * time.Millisecond
+	Heartbeat = 150 * time.Millisecond
 	// ElectionShortest is the shortest time without a leader after which a replica stands for election.
 	ElectionShortest = 500 * time.Millisecond
 	// ElectionLongest is the longest such time.
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -41,14 +41,15 @@
 	Gap      time.Duration
 	First    time.Duration
 	Granted  int
+	shared   bool
 	samples  int
 	adapted  time.Time
 	probed   time.Time
 }
 
-// NewEndpoint returns an endpoint that was just announced.
-func NewEndpoint(now time.Time, a endpt.Announce) *Endpoint {
-	return &Endpoint{Ann: a, Seen: now, Limit: float64(a.Slots)}
+// NewEndpoint returns an endpoint that was just announced; shared tells that others send it requests too.
+func NewEndpoint(now time.Time, a endpt.Announce, shared bool) *Endpoint {
+	return &Endpoint{Ann: a, Seen: now, Limit: float64(a.Slots), shared: shared}
 }
 
 // Update takes in a newer announcement of the same boot.
@@ -78,8 +79,11 @@
 	return max(int(e.Limit)-e.busy(), 0)
 }
 
-// busy is the own in-flight count, or what the endpoint reports where others use it too.
+// busy is the own in-flight count, or what the endpoint reports where others use it too and that is more.
 func (e *Endpoint) busy() int {
+	if e.shared {
+		return max(e.Running, e.Ann.Load.Running+e.Ann.Load.Waiting)
+	}
 	return e.Running
 }
 
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -126,12 +126,12 @@
 }
 
 func load(e *Endpoint) float64 {
-	return float64(e.Running) / max(e.Limit, 1)
+	return float64(e.busy()) / max(e.Limit, 1)
 }
 
 // score is the expected crowding of an endpoint: its load, made heavier by slowness and distance.
 func score(e *Endpoint, zone string) float64 {
-	s := (float64(e.Running) + 1) / max(e.Limit, 1)
+	s := (float64(e.busy()) + 1) / max(e.Limit, 1)
 	if e.Gap > 0 {
 		s *= 1 + e.Gap.Seconds()
 	}
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -236,7 +236,7 @@
 }
 
 func (c *Core) addEndpoint(now time.Time, a endpt.Announce) {
-	e := route.NewEndpoint(now, a)
+	e := route.NewEndpoint(now, a, c.opt.Shared)
 	if old := c.eps[a.Name]; old != nil {
 		for i, o := range c.order {
 			if o == old {
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -145,6 +145,8 @@
 		Policy Policy
 		Choice route.Choice
 		Seed   uint64
+		// Shared tells that other schedulers use the endpoints too, so that their reported load counts.
+		Shared bool
 	}
 )
 
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -250,31 +252,22 @@
 	return true
 }
 
-// build makes the view of a version; contracts that did not change are shared with the old view.
+// build makes the view of a version from the old one and the changed items, or from all items where full is set.
 func build(version uint64, all map[string]ctrl.Item, old *ctrl.View, changed []ctrl.Item, full bool) *ctrl.View {
-	v := &ctrl.View{Version: version, Instances: map[string]ctrl.Instance{}, Prints: map[string]ctrl.Print{}, Cells: map[string]bool{}}
-	contracts := map[string]*contr.Contract{}
-	if !full {
-		old.Book.All(func(c *contr.Contract) { contracts[c.Customer] = c })
-		for k, i := range old.Instances {
-			v.Instances[k] = i
-		}
-		for k, p := range old.Prints {
-			v.Prints[k] = p
-		}
-		for k := range old.Cells {
-			v.Cells[k] = true
-		}
+	v := &ctrl.View{Version: version}
+	book := old.Book
+	if full {
+		book = contr.NewBook(0, nil)
+		v.Instances, v.Prints, v.Cells = map[string]ctrl.Instance{}, map[string]ctrl.Print{}, map[string]bool{}
+		changed = slices.Collect(maps.Values(all))
 	} else {
-		changed = changed[:0:0]
-		for _, it := range all {
-			changed = append(changed, it)
-		}
+		v.Instances, v.Prints, v.Cells = maps.Clone(old.Instances), maps.Clone(old.Prints), maps.Clone(old.Cells)
 	}
+	contracts := map[string]*contr.Contract{}
 	for _, it := range changed {
 		set(v, contracts, it)
 	}
-	v.Book = contr.NewBook(version, contracts)
+	v.Book = book.With(version, contracts)
 	return v
 }
 
@@ -282,7 +275,7 @@
 	switch it.Kind {
 	case ctrl.KindContract:
 		var c ctrl.Signed
-		delete(contracts, it.Key)
+		contracts[it.Key] = nil
 		if !it.Gone && cbor.Unmarshal(it.Data, &c) == nil {
 			contracts[it.Key] = &c.Contract
 		}
