sched, cell: join ended runs from any instance, and go on without a quorum where settings say so

Found by reading the design against the code: a request sent again after its run had ended was joined only at the instance that had it; and fresh.lost = "serve" did not serve, as the schedulers' leases lapsed without a quorum. The scheduler now remembers for 55 s which entry keeps the answer of a named run. With "serve" a holder goes on when it cannot renew, and ends when a renewal tells that its lease is another's: renewals now name the lost leases. Tests: TestStreams (ended-id), TestServingOnWithoutAQuorum; written with the change, not run without it.

--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -48,7 +48,9 @@
 		Prop  Proposer
 		View  func() *ctrl.View
 		Fresh func(now time.Time) bool
-		Log   *zap.Logger
+		// Keep makes a scheduler go on when its lease cannot be renewed, until it is known that another has it.
+		Keep bool
+		Log  *zap.Logger
 	}
 
 	// Cells holds the cells whose leases this instance has.
@@ -138,12 +140,29 @@
 	}
 	s.mu.Lock()
 	s.renewed = sent
+	for _, name := range res.Lost {
+		s.end(name)
+	}
 	s.mu.Unlock()
 	s.drop(time.Now())
 }
 
+// end ends the scheduler of a cell whose lease is lost; its caller holds the lock.
+func (s *Cells) end(name string) {
+	h := s.cells[name]
+	if h == nil {
+		return
+	}
+	h.stop()
+	delete(s.cells, name)
+	s.opt.Log.Warn("lease of cell lapsed", zap.String("cell", name), zap.Uint64("epoch", h.cell.epoch))
+}
+
 // valid reports whether a lease is still trusted; it is asked again at each use.
 func (s *Cells) valid(now time.Time, h *holding) bool {
+	if s.opt.Keep {
+		return true
+	}
 	from := h.from
 	if s.renewed.After(from) {
 		from = s.renewed
@@ -159,9 +178,7 @@
 		if s.valid(now, h) {
 			continue
 		}
-		h.stop()
-		delete(s.cells, name)
-		s.opt.Log.Warn("lease of cell lapsed", zap.String("cell", name), zap.Uint64("epoch", h.cell.epoch))
+		s.end(name)
 	}
 }
 
--- a/internal/ctrl/command.go
+++ b/internal/ctrl/command.go
@@ -109,7 +109,7 @@
 		Done     uint64     `json:"done,omitempty"`
 	}
 
-	// Result is what a command came to.
+	// Result is what a command came to; Lost names the leases of a renewal that the boot does not hold.
 	Result struct {
 		Code    Code          `json:"code"`
 		Reason  string        `json:"reason,omitempty"`
@@ -120,6 +120,7 @@
 		Amount  int64         `json:"amount,omitempty"`
 		Fence   uint64        `json:"fence,omitempty"`
 		Claim   *claim.Record `json:"claim,omitempty"`
+		Lost    []string      `json:"lost,omitempty"`
 	}
 )
 
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -289,7 +289,13 @@
 	if r.Release {
 		s.release(r.Boot)
 	}
-	return Result{Code: OK}
+	var lost []string
+	for _, cell := range r.Cells {
+		if l := s.Leases[cell]; l == nil || l.Holder.Boot != r.Boot || l.Released {
+			lost = append(lost, cell)
+		}
+	}
+	return Result{Code: OK, Lost: lost}
 }
 
 func (s *State) release(boot string) {
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -30,6 +30,7 @@
 
 // job is one generation to be driven to its end.
 type job struct {
+	named   bool
 	cl      *caller
 	cell    string
 	model   string
@@ -95,8 +96,8 @@
 		return nil, newProblem(http.StatusBadRequest, codeBad, chat.RanNo, "%s", err.Error())
 	}
 	print := fingerprint(c.Path(), string(sent))
-	id, given := requestID(cl.contract.Customer, c.Get(headerID))
-	if given {
+	id, named := requestID(cl.contract.Customer, c.Get(headerID))
+	if named {
 		if r := e.runs.join(id); r != nil {
 			return r, sameRequest(r, print)
 		}
@@ -113,7 +114,7 @@
 	e.budget.Earn()
 	text := req.Text()
 	j := &job{
-		cl: cl, cell: e.cell(req.Model), model: req.Model, print: print, run: r,
+		cl: cl, named: named, cell: e.cell(req.Model), model: req.Model, print: print, run: r,
 		input: chat.Tokens(text), bound: req.Bound(), blocks: blocks(text),
 		stream: relay.Stream{
 			ID: id, Path: c.Path(), Body: sent, Priority: cl.class.Tier,
@@ -196,7 +197,7 @@
 	return sched.Ask{
 		ID: j.run.id, Entry: e.opt.Self.Boot, Addr: e.opt.Self.Addr, Customer: j.cl.contract.Customer, Class: j.cl.class.Name,
 		Zone: e.opt.Self.Zone, Input: j.input, Bound: j.bound, Blocks: j.blocks, Avoid: j.avoid,
-		Solo: j.solo, Attempt: j.attempt, Waited: time.Since(j.cl.arrived), Steal: j.steal,
+		Solo: j.solo, Attempt: j.attempt, Waited: time.Since(j.cl.arrived), Steal: j.steal, Named: j.named,
 	}
 }
 
--- a/internal/live/config_test.go
+++ b/internal/live/config_test.go
@@ -216,3 +216,33 @@
 		must(t, f.Ready())
 	})
 }
+
+func TestServingOnWithoutAQuorum(t *testing.T) {
+	f := newFleetWith(t, rig.Options{Instances: 5, Replicas: 3, Extra: "[fresh]\nlost = \"serve\"\n"})
+	f.engine("e1", "a")
+	svc := f.service("s1", "a")
+	f.enter(contract("acme", callKey))
+	f.serving("m", 1)
+	f.serving("bookings", 1)
+	Convey("Where the settings say so, generations go on without a quorum; what may not be repeated is refused unrun", t, func() {
+		holders := map[string]bool{f.holder("m@r").Name: true, f.holder("bookings@r").Name: true}
+		killed := 0
+		for _, in := range f.Instances[:3] {
+			if !holders[in.Name] && killed < 2 {
+				in.Kill()
+				killed++
+			}
+		}
+		So(killed, ShouldEqual, 2)
+		time.Sleep(5 * time.Second)
+		for i := range f.Instances {
+			if in := f.at(i); !in.Ended() {
+				So(f.status(in, callKey), ShouldEqual, http.StatusOK)
+			}
+		}
+		s, err := book(f.at(4), "no-quorum", "{}")
+		So(err, ShouldBeNil)
+		So(s.fail.Ran, ShouldEqual, "no")
+		So(ran(svc.Addr)["no-quorum"], ShouldEqual, 0)
+	})
+}
--- a/internal/live/stream_test.go
+++ b/internal/live/stream_test.go
@@ -64,6 +64,13 @@
 		So(err, ShouldBeNil)
 		So(s.text, ShouldEqual, want("again [[out=60]]", 60))
 		So(generated()-before, ShouldEqual, 60)
+		before = generated()
+		for i := range 3 {
+			s, err = f.at(i).chat(context.Background(), callKey, "quick", "ended-id", "ended [[out=30]]", true)
+			So(err, ShouldBeNil)
+			So(s.text, ShouldEqual, want("ended [[out=30]]", 30))
+		}
+		So(generated()-before, ShouldEqual, 30)
 		s, err = f.at(0).chat(context.Background(), callKey, "quick", "same-id", "another", false)
 		So(err, ShouldBeNil)
 		So(s.status, ShouldEqual, http.StatusUnprocessableEntity)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -178,6 +178,7 @@
 	}
 	n.cells = cell.New(n.ctx, cell.Options{
 		Self: n.self, Prop: n.quorum, View: n.spread.View, Fresh: n.fresh, Log: n.log,
+		Keep: n.conf.Fresh.Lost == conf.LostServe,
 		Sched: sched.Options{
 			Queue: n.conf.Sched.Queue, Gap: n.conf.Sched.Gap.Std(), Settle: n.conf.Sched.Settle.Std(),
 			Policy: sched.Policy(n.conf.Sched.Policy), Choice: route.Choice(n.conf.Sched.Choice), Shared: n.conf.Sched.Alone,
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"net/netip"
 	"sort"
 	"time"
 
@@ -25,6 +26,10 @@
 	serviceMean   = 0.05
 	// noEndpointAfter is how long a cell may be without a live endpoint before its requests are told so.
 	noEndpointAfter = 4 * time.Second
+	// keepEnded is how long an entry keeps the answer of a run that ended.
+	keepEnded = 55 * time.Second
+	// maxEnded is the number of ended runs that are remembered.
+	maxEnded = 20_000
 )
 
 type (
@@ -66,6 +71,15 @@
 		dirty   bool
 		picker  *route.Picker
 		alive   time.Time
+		ended   map[string]ending
+		endings []string
+	}
+
+	// ending is where the answer of a run that ended is kept.
+	ending struct {
+		entry string
+		addr  netip.AddrPort
+		at    time.Time
 	}
 )
 
@@ -74,7 +88,7 @@
 	return &Core{
 		opt: opt, epoch: epoch, settled: now.Add(opt.Settle), flows: map[flowKey]*flow{}, busy: map[*flow]bool{},
 		eps: map[string]*route.Endpoint{}, queued: map[string]*item{}, running: map[string]*run{},
-		purses: map[string]*quota.Purse{}, service: firstService.Seconds(), restAt: now, alive: now, picker: route.New(opt.Choice, opt.Seed),
+		purses: map[string]*quota.Purse{}, service: firstService.Seconds(), restAt: now, alive: now, ended: map[string]ending{}, picker: route.New(opt.Choice, opt.Seed),
 	}
 }
 
@@ -148,7 +162,7 @@
 	}
 	r := c.running[a.ID]
 	if r == nil {
-		return false
+		return c.knownEnded(now, a)
 	}
 	switch {
 	case r.ask.Entry == a.Entry && r.ask.Attempt == a.Attempt:
@@ -167,6 +181,31 @@
 	return false
 }
 
+// knownEnded sends an ask to the entry that keeps the answer of its run, for as long as it does.
+func (c *Core) knownEnded(now time.Time, a *Ask) bool {
+	e, ok := c.ended[a.ID]
+	if !ok || a.Steal || e.entry == a.Entry || now.Sub(e.at) > keepEnded {
+		return false
+	}
+	c.out = append(c.out, Verdict{ID: a.ID, Asker: a.Entry, Attempt: a.Attempt, Verb: Elsewhere, Epoch: c.epoch, Entry: e.addr})
+	return true
+}
+
+// keepEnding notes where the answer of a run is kept whose caller may send it again.
+func (c *Core) keepEnding(now time.Time, a *Ask) {
+	if !a.Named {
+		return
+	}
+	if _, ok := c.ended[a.ID]; !ok {
+		c.endings = append(c.endings, a.ID)
+	}
+	c.ended[a.ID] = ending{entry: a.Entry, addr: a.Addr, at: now}
+	for len(c.endings) > maxEnded || len(c.endings) > 0 && now.Sub(c.ended[c.endings[0]].at) > keepEnded {
+		delete(c.ended, c.endings[0])
+		c.endings = c.endings[1:]
+	}
+}
+
 func (c *Core) elsewhere(a *Ask, at Ask) {
 	c.out = append(c.out, Verdict{ID: a.ID, Asker: a.Entry, Attempt: a.Attempt, Verb: Elsewhere, Epoch: c.epoch, Entry: at.Addr})
 }
@@ -294,6 +333,7 @@
 	if !d.Broken {
 		c.service += serviceMean * (now.Sub(r.started).Seconds() - c.service)
 		r.flow.learn(d.Tokens)
+		c.keepEnding(now, &r.ask)
 	}
 	c.settle(now, r, d.Tokens, false)
 }
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -69,7 +69,7 @@
 		Capped   bool
 	}
 
-	// Ask is one request for a grant; the prompt stays at the entry.
+	// Ask is one request for a grant; the prompt stays at the entry. Named tells that the caller chose the ID and may send it again.
 	Ask struct {
 		ID       string         `json:"id"`
 		Entry    string         `json:"entry"`
@@ -86,6 +86,7 @@
 		Attempt  int            `json:"attempt,omitempty"`
 		Waited   time.Duration  `json:"waited,omitempty"`
 		Steal    bool           `json:"steal,omitempty"`
+		Named    bool           `json:"named,omitempty"`
 	}
 
 	// Target is the endpoint of a grant.
