--- a/internal/bench/spreadslope.go
+++ b/internal/bench/spreadslope.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/greengagewheel/greengagewheel/internal/admin"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
@@ -21,7 +24,10 @@
 	idleFor      = 8 * time.Second
 	ticksPerSec  = 100
 	changesTotal = 200
-	killEvery    = 50
+	killEvery    = 48
+	// changesAtOnce is the number of operators that make changes at the same time.
+	changesAtOnce = 4
+	reviveAfter   = 2 * time.Second
 )
 
 // usage is what an instance has used so far: processor time, bytes between instances, and memory now.
@@ -232,7 +238,7 @@
 	Gap         time.Duration
 }
 
-// InForceEverywhere makes 200 changes on nine instances, and kills the leader every 50 of them where kill is set.
+// InForceEverywhere makes 200 changes on nine instances, four at a time, and kills the leader every 50 of them where kill is set.
 func InForceEverywhere(bin string, kill bool) (InForce, error) {
 	r, stop, err := newRig(bin, 9, 3)
 	if err != nil {
@@ -241,28 +247,36 @@
 	defer stop()
 	var took []time.Duration
 	res := InForce{}
-	for i := range changesTotal {
-		if kill && i%killEvery == killEvery/2 {
+	for i := 0; i < changesTotal; i += changesAtOnce {
+		if kill && i%killEvery == killEvery/2/changesAtOnce*changesAtOnce {
 			if leader := r.Leader(); leader != nil {
 				leader.Kill()
 				res.Kills++
-				defer func() { _ = leader }()
-				go func() {
-					time.Sleep(2 * time.Second)
-					_ = r.Boot(leader)
-				}()
+				time.AfterFunc(reviveAfter, func() { _ = r.Boot(leader) })
 			}
 		}
-		d, err := changeOnce(r, i)
+		ds, err := changesTogether(r, i)
 		if err != nil {
 			return res, err
 		}
-		took = append(took, d)
+		took = append(took, ds...)
 	}
 	res.Median, res.P99, res.Max = spanQuantile(took, 0.5), spanQuantile(took, 0.99), spanQuantile(took, 1)
 	return res, nil
 }
 
+// changesTogether makes a few changes at once and returns how long each took.
+func changesTogether(r *rig.Rig, from int) ([]time.Duration, error) {
+	took := make([]time.Duration, changesAtOnce)
+	errs := make([]error, changesAtOnce)
+	var wg conc.WaitGroup
+	for k := range changesAtOnce {
+		wg.Go(func() { took[k], errs[k] = changeOnce(r, from+k) })
+	}
+	wg.Wait()
+	return took, errors.Join(errs...)
+}
+
 // changeOnce makes one change and sends it again until it is in force everywhere.
 func changeOnce(r *rig.Rig, i int) (time.Duration, error) {
 	start := time.Now()
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -11,8 +11,11 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/greengagewheel/greengagewheel/internal/admin"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
+	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/replay"
 	"github.com/greengagewheel/greengagewheel/internal/rig"
 	"github.com/greengagewheel/greengagewheel/pkg/trace"
@@ -90,9 +93,12 @@
 	if err := s.rig.Start(); err != nil {
 		return err
 	}
-	for _, k := range s.contracts() {
-		if _, err := s.rig.Enter(k); err != nil {
-			return err
+	all := s.contracts()
+	for i, k := range all {
+		last := i == len(all)-1
+		out, err := s.rig.Instances[0].Put(admin.Change{Contract: k, Author: "bench", Wait: last})
+		if err != nil || out.Code != ctrl.OK {
+			return fault.New("enter contract", k.Customer, "%s %s %v", out.Code, out.Reason, err)
 		}
 	}
 	n := 12
@@ -216,25 +222,15 @@
 	}
 }
 
-// after waits, and reports whether the run still goes on.
-func after(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // straggle makes two engines five times as slow for the middle of the trace.
 func (s *stage) straggle(ctx context.Context) {
-	if !after(ctx, 3*time.Second) {
+	if !pace.Pause(ctx, 3*time.Second) {
 		return
 	}
 	for _, e := range s.engines[1:3] {
 		post(e.Addr, "/fault/slow/5")
 	}
-	if !after(ctx, 8*time.Second) {
+	if !pace.Pause(ctx, 8*time.Second) {
 		return
 	}
 	for _, e := range s.engines[1:3] {
@@ -245,7 +241,7 @@
 // crash ends engines at once, one after another.
 func (s *stage) crash(ctx context.Context) {
 	for i := range crashTimes {
-		if !after(ctx, 4*time.Second) {
+		if !pace.Pause(ctx, 4*time.Second) {
 			return
 		}
 		s.engines[1+i].Kill()
@@ -254,10 +250,10 @@
 
 // revive starts engines again that have ended, a while later.
 func (s *stage) revive(ctx context.Context) {
-	for after(ctx, reviveCheck) {
+	for pace.Pause(ctx, reviveCheck) {
 		for i := range s.engines {
 			e := &s.engines[i]
-			if !e.Ended() || !after(ctx, time.Second) {
+			if !e.Ended() || !pace.Pause(ctx, time.Second) {
 				continue
 			}
 			again, err := s.rig.StandinAt(e.Addr, "engine", fmt.Sprintf("e%d", i+1), zone(i), s.run.Trace.Head.Model,
@@ -272,7 +268,7 @@
 // restart stops and starts the instances one after another.
 func (s *stage) restart(ctx context.Context) {
 	for _, in := range s.rig.Instances {
-		if !after(ctx, restartPause/2) {
+		if !pace.Pause(ctx, restartPause/2) {
 			return
 		}
 		if err := in.Stop(); err != nil {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -13,6 +13,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/cell"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
 	"github.com/greengagewheel/greengagewheel/internal/quorum"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
@@ -231,19 +232,12 @@
 			}
 		}
 		last = err
-		pause(ctx, retryPause)
+		pace.Pause(ctx, retryPause)
 	}
 	b.cancel(o, a)
 	return sched.Verdict{}, nil, fault.At("ask for grant", name, errors.Join(ctx.Err(), last))
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // begin enters a granted run in the table; other verdicts give no run.
 func (b *Broker) begin(o *office, a sched.Ask, v sched.Verdict) *Run {
 	if v.Verb != sched.Granted {
@@ -268,124 +262,6 @@
 	})
 }
 
-// Finish reports the end of a run.
-func (b *Broker) Finish(name string, r *Run, d sched.Done) {
-	o := b.office(name)
-	d.ID, d.Attempt = r.ask.ID, r.ask.Attempt
-	o.mu.Lock()
-	if o.runs[d.ID] == r {
-		delete(o.runs, d.ID)
-	}
-	o.mu.Unlock()
-	b.finish(o, d)
-}
-
-func (b *Broker) finish(o *office, d sched.Done) {
-	select {
-	case o.dones <- d:
-	default:
-	}
-}
-
-// finishes sends reports of ended runs in batches.
-func (b *Broker) finishes(o *office) {
-	for {
-		var batch []sched.Done
-		select {
-		case <-b.ctx.Done():
-			return
-		case d := <-o.dones:
-			batch = append(batch, d)
-		}
-		for len(o.dones) > 0 && len(batch) < maxDones {
-			batch = append(batch, <-o.dones)
-		}
-		b.sendDones(o, batch)
-	}
-}
-
-// sendDones retries for a while; the regular report frees what it could not tell.
-func (b *Broker) sendDones(o *office, batch []sched.Done) {
-	ctx, cancel := context.WithTimeout(b.ctx, doneTimeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		addr, err := b.holder(ctx, o, false)
-		if err == nil {
-			if _, err = b.call(ctx, o, addr, cell.Order{Done: batch}, callTimeout); err == nil {
-				return
-			}
-		}
-		pause(ctx, retryPause)
-	}
-}
-
-// reports tells the scheduler at regular times what runs here.
-func (b *Broker) reports(o *office) {
-	t := time.NewTicker(syncEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-b.ctx.Done():
-			return
-		case <-t.C:
-		}
-		o.mu.Lock()
-		idle := len(o.runs) == 0
-		o.mu.Unlock()
-		if idle {
-			continue
-		}
-		if addr, err := b.holder(b.ctx, o, false); err == nil {
-			b.report(o, addr)
-		}
-	}
-}
-
-func (b *Broker) report(o *office, to netip.AddrPort) {
-	now := time.Now()
-	rep := sched.Report{Entry: b.opt.Self.Boot}
-	o.mu.Lock()
-	for _, r := range o.runs {
-		r.mu.Lock()
-		rep.Runs = append(rep.Runs, sched.Progress{Ask: r.ask, Target: r.target, Gap: r.gap, Since: now.Sub(r.since)})
-		r.mu.Unlock()
-	}
-	o.mu.Unlock()
-	if _, err := b.call(b.ctx, o, to, cell.Order{Report: &rep}, callTimeout); err != nil {
-		b.opt.Log.Debug("report failed", zap.String("cell", o.name), zap.Error(err))
-	}
-}
-
-// Announce forwards an announcement to the schedulers of all its cells; an error means that not each of them has it.
-func (b *Broker) Announce(ctx context.Context, cells []string, a endpt.Announce) error {
-	var failed error
-	for _, name := range cells {
-		if err := b.announce(ctx, name, a); err != nil {
-			failed = err
-		}
-	}
-	return failed
-}
-
-func (b *Broker) announce(ctx context.Context, name string, a endpt.Announce) error {
-	const tries = 3
-	o := b.office(name)
-	o.mu.Lock()
-	o.anns[a.Name] = heard{ann: a, at: time.Now()}
-	o.mu.Unlock()
-	var err error
-	for range tries {
-		var addr netip.AddrPort
-		if addr, err = b.holder(ctx, o, true); err != nil {
-			return err
-		}
-		if _, err = b.call(ctx, o, addr, cell.Order{Announce: &a}, callTimeout); err == nil {
-			return nil
-		}
-	}
-	return err
-}
-
 // Show returns the state of each cell's scheduler that can be reached.
 func (b *Broker) Show(ctx context.Context, names []string) map[string]sched.State {
 	out := map[string]sched.State{}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
 	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
@@ -188,17 +189,10 @@
 
 // run ticks the scheduler until the context ends.
 func (c *Cell) run(ctx context.Context) {
-	t := time.NewTicker(tick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			c.with(func(now time.Time, core *sched.Core) { core.Tick(now) })
-			c.forget(time.Now())
-		}
-	}
+	pace.Every(ctx, tick, func() {
+		c.with(func(now time.Time, core *sched.Core) { core.Tick(now) })
+		c.forget(time.Now())
+	})
 }
 
 func (c *Cell) forget(now time.Time) {
--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
 	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
@@ -92,16 +93,7 @@
 
 // Run renews the leases until the context ends, then hands them back.
 func (s *Cells) Run(ctx context.Context) {
-	t := time.NewTicker(renewEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			s.renew(ctx)
-		}
-	}
+	pace.Every(ctx, renewEvery, func() { s.renew(ctx) })
 }
 
 // Take begins to schedule a cell under a lease that was won by a call sent at from.
--- a/internal/engctl/engctl.go
+++ b/internal/engctl/engctl.go
@@ -14,6 +14,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
 	"github.com/greengagewheel/greengagewheel/internal/order"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/quorum"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
 )
@@ -67,16 +68,7 @@
 
 // Run carries out orders until the context ends.
 func (x *Executor) Run(ctx context.Context) {
-	t := time.NewTicker(every)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			x.round(ctx)
-		}
-	}
+	pace.Every(ctx, every, func() { x.round(ctx) })
 }
 
 // round looks at all orders once, if there are any and the lease is held.
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/broker"
+	"github.com/greengagewheel/greengagewheel/internal/conf"
+	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/relay"
+	"github.com/greengagewheel/greengagewheel/internal/retry"
+	"github.com/greengagewheel/greengagewheel/internal/sched"
+	"github.com/greengagewheel/greengagewheel/pkg/chat"
+)
+
+// attempt relays the run from one endpoint, from where it stands.
+func (e *Entry) attempt(ctx context.Context, j *job, v sched.Verdict, held *broker.Run) (done bool, p *problem) {
+	j.sent, j.served = time.Now(), 0
+	err := e.relay.Fetch(ctx, v.Target.Addr, j.stream, j.run.offset(), func(ev relay.Event) error {
+		j.observe(time.Now(), ev, held)
+		j.run.add(ev)
+		return nil
+	})
+	d := sched.Done{First: j.served, Gap: j.meanGap(), Tokens: j.run.offset()}
+	if err == nil {
+		e.opt.Broker.Finish(j.cell, held, d)
+		e.succeeded(j)
+		return true, nil
+	}
+	if ctx.Err() != nil {
+		_ = e.relay.Cancel(e.ctx, v.Target.Addr, j.stream.ID)
+		e.opt.Broker.Finish(j.cell, held, d)
+		return true, newProblem(http.StatusServiceUnavailable, codeGone, j.ran(), "the caller has gone")
+	}
+	var refusal *relay.Refusal
+	if errors.As(err, &refusal) {
+		e.opt.Broker.Finish(j.cell, held, sched.Done{Unsent: true})
+		return true, failed(err, j.ran())
+	}
+	return e.again(j, v, held, err)
+}
+
+// again prepares the next attempt after an endpoint failed, or gives the run up.
+func (e *Entry) again(j *job, v sched.Verdict, held *broker.Run, err error) (done bool, p *problem) {
+	unsent := errors.Is(err, relay.ErrUnsent) && !errors.Is(err, relay.ErrBroken)
+	crashed := errors.Is(err, relay.ErrUnsent) && !unsent
+	e.opt.Log.Warn("endpoint failed", zap.String("step", "stream"), zap.String("peer", v.Target.Name),
+		zap.String("id", j.run.id), zap.Int("offset", j.run.offset()), zap.Bool("crashed", crashed), zap.Error(err))
+	e.opt.Broker.Finish(j.cell, held, sched.Done{Broken: true, Unsent: unsent, Tokens: j.run.offset()})
+	if !unsent && !crashed {
+		e.wg.Go(func() { _ = e.relay.Cancel(e.ctx, v.Target.Addr, j.stream.ID) })
+	}
+	blind := e.opt.Limits.Retry == conf.RetryBlind
+	if crashed && !blind {
+		j.crashes++
+		j.solo = true
+		e.blame(j.print, v.Target.Boot)
+	}
+	j.attempt++
+	j.avoid = append(j.avoid, v.Target.Boot)
+	switch {
+	case blind && j.run.offset() == 0 && j.attempt < retry.MaxAttempts:
+		return false, nil
+	case blind:
+		return true, failed(err, j.ranAfter(unsent))
+	case j.crashes >= 2:
+		p := newProblem(http.StatusUnprocessableEntity, codeQuarantined, j.ranAfter(unsent),
+			"this request crashed the endpoints that ran it and is not run again")
+		return true, p
+	case j.attempt >= retry.MaxAttempts || !e.budget.Spend():
+		return true, failed(err, j.ranAfter(unsent))
+	}
+	return false, nil
+}
+
+// ranAfter is ran for a run whose last attempt may not have been sent.
+func (j *job) ranAfter(unsent bool) string {
+	if unsent && j.attempt == 1 {
+		return chat.RanNo
+	}
+	return j.ran()
+}
+
+// blame reports a crash through the log before the request runs anywhere else.
+func (e *Entry) blame(print, boot string) {
+	ctx, cancel := context.WithTimeout(e.ctx, poisonTimeout)
+	defer cancel()
+	cmd := ctrl.Command{Poison: &ctrl.Poison{Print: print, Boot: boot}}
+	if _, err := e.opt.Quorum.Propose(ctx, cmd); err != nil {
+		e.opt.Log.Warn("crash not reported", zap.String("print", print), zap.Error(err))
+	}
+}
+
+// succeeded clears a suspicion and counts the run.
+func (e *Entry) succeeded(j *job) {
+	j.cl.series.First(j.first)
+	if g := j.meanGap(); g > 0 {
+		j.cl.series.Gap(g)
+	}
+	if !j.solo {
+		return
+	}
+	e.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(e.ctx, poisonTimeout)
+		defer cancel()
+		_, _ = e.opt.Quorum.Propose(ctx, ctrl.Command{Poison: &ctrl.Poison{Print: j.print, Clear: true}})
+	})
+}
--- a/internal/memb/proof_test.go
+++ b/internal/memb/proof_test.go
@@ -1,21 +1,19 @@
 package memb
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	"github.com/greengagewheel/greengagewheel/internal/seed"
 )
 
-// TestMain fixes the seed, so that each run takes the same cases; -rapid.seed on the command line goes first.
+// TestMain fixes the seed of the random cases.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261203")
-	}
+	seed.Fix()
 	os.Exit(m.Run())
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/group"
 	"github.com/greengagewheel/greengagewheel/internal/memb"
 	"github.com/greengagewheel/greengagewheel/internal/meter"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
 	"github.com/greengagewheel/greengagewheel/internal/quorum"
 	"github.com/greengagewheel/greengagewheel/internal/repl"
@@ -297,92 +298,9 @@
 	})
 }
 
-// stop ends the instance: not ready first, then the schedulers handed over, the requests finished, and the rest.
-func (n *Node) stop() {
-	n.log.Info("instance stops", zap.Int("requests", n.entry.Busy()))
-	n.entry.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	n.cells.Close(ctx)
-	time.Sleep(settleStop)
-	n.drainRequests()
-	done, cancel2 := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel2()
-	_ = n.entry.Close(done)
-	_ = n.admin.Close(done)
-	n.leave(done)
-	n.cancel()
-	_ = n.peers.Close()
-	n.wg.Wait()
-	n.entry.Wait()
-	_ = n.meter.Close()
-}
-
-// drainRequests waits for the requests in progress, for as long as the settings allow.
-func (n *Node) drainRequests() {
-	limit := n.conf.Limits.Drain.Std()
-	start := time.Now()
-	_ = n.lists.callers.Close()
-	for n.entry.Busy() > 0 {
-		if limit > 0 && time.Since(start) > limit {
-			n.log.Warn("drain limit reached", zap.Int("requests", n.entry.Busy()))
-			return
-		}
-		time.Sleep(drainCheck)
-	}
-}
-
-// leave strikes the instance from the list.
-func (n *Node) leave(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, enlistTimeout)
-	defer cancel()
-	cmd := ctrl.Command{Strike: &ctrl.Strike{Name: n.self.Name, Boot: n.self.Boot}}
-	if _, err := n.quorum.Propose(ctx, cmd); err != nil {
-		n.log.Warn("not struck from the list of instances", zap.Error(err))
-	}
-}
-
-// enlist enters the instance into the list at regular times, and strikes lost ones where it leads the log.
-func (n *Node) enlist(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause := enlistEvery
-		if err := n.propose(ctx, ctrl.Command{Enlist: &n.self}); err != nil {
-			pause = enlistRetry
-		}
-		if n.group != nil && n.group.Status().Role == repl.Leader.String() {
-			n.strikeLost(ctx)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-	}
-}
-
-func (n *Node) strikeLost(ctx context.Context) {
-	for _, i := range n.machine.Lost(lostAfter) {
-		n.log.Warn("instance lost; struck from the list", zap.String("name", i.Name), zap.String("boot", i.Boot))
-		_ = n.propose(ctx, ctrl.Command{Strike: &ctrl.Strike{Name: i.Name, Boot: i.Boot}})
-	}
-}
-
-func (n *Node) propose(ctx context.Context, cmd ctrl.Command) error {
-	ctx, cancel := context.WithTimeout(ctx, enlistTimeout)
-	defer cancel()
-	_, err := n.quorum.Propose(ctx, cmd)
-	return err
-}
-
 // gauges reports the instance's own state to the metrics.
 func (n *Node) gauges(ctx context.Context) {
-	t := time.NewTicker(time.Second)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	pace.Every(ctx, time.Second, func() {
 		n.meter.Gauge("config_version", float64(n.spread.View().Version))
 		n.meter.Gauge("config_age_seconds", n.spread.Age(time.Now()).Seconds())
 		n.meter.Gauge("requests_in_progress", float64(n.entry.Busy()))
@@ -391,33 +309,5 @@
 		n.meter.Gauge("peer_bytes_received", float64(in))
 		n.meter.Gauge("peer_bytes_sent", float64(out))
 		n.meter.Gauge("peer_calls", float64(n.links.Calls()))
-	}
-}
-
-// Put commits a contract.
-func (n *Node) Put(ctx context.Context, p ctrl.Put) (ctrl.Result, error) {
-	return n.quorum.Propose(ctx, ctrl.Command{Put: &p})
-}
-
-// AwaitCells waits until each of the models and services is served in this instance's region, and the instance is ready.
-func (n *Node) AwaitCells(ctx context.Context, limit time.Duration, names ...string) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	for !n.served(names) || n.Ready() != nil {
-		select {
-		case <-ctx.Done():
-			return fault.At("wait for endpoints", "", ctx.Err())
-		case <-time.After(drainCheck):
-		}
-	}
-	return nil
-}
-
-func (n *Node) served(names []string) bool {
-	for _, name := range names {
-		if !n.spread.View().Cells[cell.Name(name, n.self.Region)] {
-			return false
-		}
-	}
-	return true
+	})
 }
--- /dev/null
+++ b/internal/pace/doc.go
@@ -0,0 +1,2 @@
+// Package pace runs work at regular times.
+package pace
--- a/internal/repl/schedule_test.go
+++ b/internal/repl/schedule_test.go
@@ -1,7 +1,6 @@
 package repl
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -11,14 +10,13 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/greengagewheel/greengagewheel/internal/seed"
 )
 
-// TestMain fixes the seed, so that each run takes the same schedules; -rapid.seed on the command line goes first.
+// TestMain fixes the seed of the random cases.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261203")
-	}
+	seed.Fix()
 	os.Exit(m.Run())
 }
 
--- a/internal/replay/counter.go
+++ b/internal/replay/counter.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/greengagewheel/greengagewheel/internal/engine"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 )
 
 // counter keeps the last counters of each stand-in engine, also of one that crashed.
@@ -35,17 +35,8 @@
 }
 
 func (c *counter) poll(ctx context.Context) {
-	t := time.NewTicker(statsEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			c.read()
-			return
-		case <-t.C:
-			c.read()
-		}
-	}
+	pace.Every(ctx, statsEvery, c.read)
+	c.read()
 }
 
 // read takes in each engine's counters; where they went back, the engine has restarted.
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -18,6 +18,7 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/engine"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/pkg/chat"
 	"github.com/greengagewheel/greengagewheel/pkg/trace"
 )
@@ -98,18 +99,11 @@
 }
 
 func (r *runner) progress(ctx context.Context) {
-	t := time.NewTicker(progressEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			if r.opt.Progress != nil {
-				r.opt.Progress(int(r.done.Load()), len(r.tr.Records))
-			}
+	pace.Every(ctx, progressEvery, func() {
+		if r.opt.Progress != nil {
+			r.opt.Progress(int(r.done.Load()), len(r.tr.Records))
 		}
-	}
+	})
 }
 
 func (r *runner) drive(ctx context.Context, start time.Time) {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -36,7 +36,9 @@
 	poll     = 20 * time.Millisecond
 	fileMode = 0o600
 	zones    = 3
-	firstIP  = 11
+	// The hosts of a rig's addresses: instances from firstInstance on, stand-ins from firstStandin on.
+	firstInstance = 11
+	firstStandin  = 101
 )
 
 // ErrNever tells that something waited for did not happen.
@@ -72,6 +74,7 @@
 		opt       Options
 		Instances []*Instance
 		procs     []*Proc
+		standins  int
 	}
 
 	// Standin is a stand-in process and its address.
@@ -91,6 +94,14 @@
 	return netip.ParseAddrPort(l.Addr().String())
 }
 
+// host returns a loopback address that no other process uses: a port of a process that is down for a while
+// must not be taken by a connection of another.
+func host(n int) string {
+	const nets = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/nets%nets, 1+pid%nets, n)
+}
+
 // New writes the settings of a rig's instances, in three zones; the first ones hold the log.
 func New(opt Options) (*Rig, error) {
 	r := &Rig{opt: opt}
@@ -100,7 +111,7 @@
 			Dir:  filepath.Join(opt.Dir, fmt.Sprintf("data%d", i+1)),
 			Conf: filepath.Join(opt.Dir, fmt.Sprintf("i%d.toml", i+1)),
 		}
-		ip := fmt.Sprintf("127.0.0.%d", firstIP+i)
+		ip := host(firstInstance + i)
 		var err error
 		for _, a := range []*netip.AddrPort{&in.Callers, &in.Operators, &in.Peers} {
 			if *a, err = FreeAddr(ip); err != nil {
@@ -202,10 +213,11 @@
 
 // Standin starts a stand-in of a kind ("engine" or "service") that serves a model or service.
 func (r *Rig) Standin(kind, name, zone, serves string, extra ...string) (Standin, error) {
-	addr, err := FreeAddr("127.0.0.1")
+	addr, err := FreeAddr(host(firstStandin + r.standins))
 	if err != nil {
 		return Standin{}, err
 	}
+	r.standins++
 	return r.StandinAt(addr, kind, name, zone, serves, extra...)
 }
 
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -12,15 +11,13 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"github.com/greengagewheel/greengagewheel/internal/seed"
 	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
-// TestMain fixes the seed, so that each run takes the same cases; -rapid.seed on the command line goes first.
+// TestMain fixes the seed of the random cases.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261203")
-	}
+	seed.Fix()
 	os.Exit(m.Run())
 }
 
--- /dev/null
+++ b/internal/seed/doc.go
@@ -0,0 +1,2 @@
+// Package seed fixes the seed of random tests, so that each run takes the same cases.
+package seed
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -15,6 +15,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/memb"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
 )
 
@@ -113,7 +114,7 @@
 		}
 		parents := s.parents()
 		if len(parents) == 0 {
-			wait(ctx, retryPause)
+			pace.Pause(ctx, retryPause)
 			continue
 		}
 		if time.Since(home) > homeEvery {
@@ -121,7 +122,7 @@
 		}
 		if !s.pull(ctx, parents[at%len(parents)]) || s.Age(time.Now()) > stale {
 			at++
-			wait(ctx, retryPause)
+			pace.Pause(ctx, retryPause)
 		}
 		s.watch()
 	}
@@ -144,13 +145,6 @@
 	return memb.Parents(s.opt.Self, s.View().Instances, s.opt.Replicas, leader)
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // watch logs when the proof lapses and when it is back.
 func (s *Spread) watch() {
 	lapsed := !s.Fresh(time.Now())
