--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -39,7 +39,7 @@
 	got   map[string]Verdict
 	by    map[string]string
 	check func(v Verdict)
-	serve func() time.Duration
+	serve func(id string) time.Duration
 	n     int
 }
 
@@ -48,7 +48,7 @@
 		core: New(t0, 1, Options{Queue: 1000, Gap: 36 * time.Millisecond}), now: t0, rng: rand.New(rand.NewPCG(seed, 1)),
 		terms: terms, slots: slots, ends: map[string]time.Time{}, wait: map[string]time.Time{}, got: map[string]Verdict{}, by: map[string]string{},
 	}
-	c.serve = func() time.Duration { return time.Duration(500+c.rng.IntN(1000)) * time.Millisecond }
+	c.serve = func(string) time.Duration { return time.Duration(500+c.rng.IntN(1000)) * time.Millisecond }
 	for i := range endpoints {
 		c.names = append(c.names, fmt.Sprint("e", i))
 	}
@@ -65,10 +65,14 @@
 	c.take()
 }
 
+func (c *cell) nextID(class string) string {
+	return fmt.Sprintf("%s-%d", class, c.n+1)
+}
+
 // offer asks for a class's request and returns its ID.
 func (c *cell) offer(class string) string {
+	id := c.nextID(class)
 	c.n++
-	id := fmt.Sprintf("%s-%d", class, c.n)
 	c.by[id], c.wait[id] = class, c.now
 	c.core.Offer(c.now, Ask{ID: id, Entry: "x", Addr: addr, Customer: class, Class: "c", Input: 10, Bound: 100}, c.terms[class])
 	c.take()
@@ -84,7 +88,7 @@
 		}
 		switch v.Verb {
 		case Granted:
-			c.ends[v.ID] = c.now.Add(c.serve())
+			c.ends[v.ID] = c.now.Add(c.serve(v.ID))
 			c.got[v.ID] = v
 		case Refused:
 			c.got[v.ID] = v
@@ -235,7 +239,7 @@
 			c.offer("k")
 		}
 		So(len(c.core.running), ShouldEqual, 3)
-		c.serve = func() time.Duration { return time.Minute }
+		c.serve = func(string) time.Duration { return time.Minute }
 		c.pass(10 * time.Second)
 		over := 0
 		for _, v := range c.got {
