quorum, broker: let a stopping instance decline leases

Cause: an instance that stops hands its leases back and then, for the requests that wait at it, asks who schedules; being the first to ask it got the lease again, which it no longer serves, until that lapsed 3 s later. Also: bytes of runs that cross zones are counted (cross_zone_bytes).

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -31,8 +31,11 @@
 	maxDones     = 256
 )
 
-// ErrNoCell tells that no endpoint ever served the model or service.
-var ErrNoCell = errors.New("no endpoint serves it")
+var (
+	// ErrNoCell tells that no endpoint ever served the model or service.
+	ErrNoCell   = errors.New("no endpoint serves it")
+	errNoHolder = errors.New("nobody schedules the cell at present")
+)
 
 type (
 	// Options holds what the broker needs.
@@ -119,13 +122,17 @@
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	sent := time.Now()
-	res, err := b.opt.Find.Holder(ctx, quorum.Holder{Cell: o.name, Asker: b.opt.Self, Create: create})
+	q := quorum.Holder{Cell: o.name, Asker: b.opt.Self, Create: create, Decline: b.opt.Cells.Closed()}
+	res, err := b.opt.Find.Holder(ctx, q)
 	if err != nil {
 		return netip.AddrPort{}, fault.At("find scheduler", o.name, err)
 	}
 	if res.Code == ctrl.Missing {
 		return netip.AddrPort{}, ErrNoCell
 	}
+	if !res.Holder.Addr.IsValid() {
+		return netip.AddrPort{}, errNoHolder
+	}
 	if res.Holder.Boot == b.opt.Self.Boot {
 		b.opt.Cells.Take(o.name, res.Epoch, sent)
 	}
--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -242,6 +242,13 @@
 	return out
 }
 
+// Closed reports whether this instance schedules no more.
+func (s *Cells) Closed() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.closed
+}
+
 // Close stops scheduling, gives back the unspent slices and then the leases.
 func (s *Cells) Close(ctx context.Context) {
 	s.mu.Lock()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -25,6 +25,7 @@
 		j.run.add(ev)
 		return nil
 	})
+	e.countZones(j, v.Target.Zone)
 	d := sched.Done{First: j.served, Gap: j.meanGap(), Tokens: j.run.offset()}
 	if err == nil {
 		e.opt.Broker.Finish(j.cell, held, d)
@@ -110,3 +111,10 @@
 		_, _ = e.opt.Quorum.Propose(ctx, ctrl.Command{Poison: &ctrl.Poison{Print: j.print, Clear: true}})
 	})
 }
+
+// countZones counts the bytes of a run that crossed to another zone and back.
+func (e *Entry) countZones(j *job, zone string) {
+	if zone != e.opt.Self.Zone {
+		e.opt.Meter.Count("cross_zone_bytes", int64(len(j.stream.Body)+j.run.bytes()))
+	}
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -149,6 +149,13 @@
 	r.change = make(chan struct{})
 }
 
+// bytes returns the size of what has come so far.
+func (r *run) bytes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.size
+}
+
 // offset returns the number of tokens that have come so far.
 func (r *run) offset() int {
 	r.mu.Lock()
--- a/internal/live/stream_test.go
+++ b/internal/live/stream_test.go
@@ -291,3 +291,27 @@
 		So(f.Instances[0].Live("m"), ShouldEqual, 3)
 	})
 }
+
+func TestStopOfASchedulerWithAQueue(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	f.engine("e1", "a", "--step", "10ms", "--slots", "1")
+	f.enter(contract("acme", callKey))
+	f.serving("m", 1)
+	Convey("When the instance that schedules is stopped, what waits at it is scheduled elsewhere and answered whole", t, func() {
+		holder := f.holder("m@r")
+		res := make(chan said, 3)
+		for i := range 3 {
+			go func() {
+				s, _ := holder.chat(context.Background(), callKey, "quick", "", fmt.Sprintf("queued %d [[out=150]]", i), i == 0)
+				res <- s
+			}()
+		}
+		until(t, "two wait", func() bool { return f.Instances[0].Cells()["m@r"].Queued == 2 })
+		So(holder.Stop(), ShouldBeNil)
+		for range 3 {
+			s := <-res
+			So(s.fail.Code, ShouldEqual, "")
+			So(strings.Count(s.text, " "), ShouldEqual, 150)
+		}
+	})
+}
--- a/internal/quorum/server.go
+++ b/internal/quorum/server.go
@@ -28,11 +28,13 @@
 		Result ctrl.Result    `json:"result"`
 	}
 
-	// Holder asks who schedules a cell; who asks takes the lease if it is free. Create allows a cell that never was.
+	// Holder asks who schedules a cell; who asks takes the lease if it is free. Create allows a cell that never was;
+	// Decline only asks, as one that stops does.
 	Holder struct {
-		Cell   string        `json:"cell"`
-		Asker  ctrl.Instance `json:"asker"`
-		Create bool          `json:"create,omitempty"`
+		Cell    string        `json:"cell"`
+		Asker   ctrl.Instance `json:"asker"`
+		Create  bool          `json:"create,omitempty"`
+		Decline bool          `json:"decline,omitempty"`
 	}
 
 	// Query asks the leader for a part of the control state.
@@ -115,6 +117,9 @@
 	if l.Epoch == 0 && !h.Create {
 		return Outcome{Lead: true, Result: ctrl.Result{Code: ctrl.Missing, Reason: "no endpoint ever served " + h.Cell}}, nil
 	}
+	if h.Decline {
+		return Outcome{Lead: true, Result: ctrl.Result{Code: ctrl.Held, Epoch: l.Epoch}}, nil
+	}
 	cmd := ctrl.Command{Lease: &ctrl.Acquire{Cell: h.Cell, Seen: l.Epoch, Holder: h.Asker}}
 	return s.Propose(ctx, Proposal{Command: cmd})
 }
