--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -26,7 +26,7 @@
 const (
 	requestTimeout = 90 * time.Second
 	progressEvery  = time.Second
-	statsEvery     = 200 * time.Millisecond
+	statsEvery     = 50 * time.Millisecond
 	statsTimeout   = time.Second
 	maxRetryAfter  = 2 * time.Second
 	bytesPerToken  = 4
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -29,7 +29,8 @@
 		gaps     []time.Duration
 	}
 
-	// Report is what a replay measured; Wasted counts generated tokens that no caller got.
+	// Report is what a replay measured; Wasted counts generated tokens that are in no whole answer that a caller got.
+	// What an engine generated between the last look at its counters and its crash is not counted.
 	Report struct {
 		Trace     string         `json:"trace"`
 		Took      time.Duration  `json:"took"`
@@ -57,7 +58,6 @@
 // add books one request's outcome.
 func (c *ClassReport) add(o outcome, target trace.Class) {
 	c.Sent++
-	c.Tokens += o.tokens
 	if o.code != "" {
 		c.Codes[o.code]++
 	}
@@ -74,6 +74,7 @@
 		return
 	}
 	c.Whole++
+	c.Tokens += o.tokens
 	inFirst := target.First == 0 || o.first <= target.First.Std()
 	inGap := target.Gap == 0 || o.gap <= target.Gap.Std()
 	if inFirst && inGap {
