--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -57,17 +57,18 @@
 	}
 
 	runner struct {
-		opt    Options
-		tr     *trace.Trace
-		client *http.Client
-		done   atomic.Int64
-		mu     sync.Mutex
-		rep    map[[2]string]*ClassReport
-		target map[[2]string]trace.Class
+		opt     Options
+		tr      *trace.Trace
+		client  *http.Client
+		targets *balancer
+		done    atomic.Int64
+		mu      sync.Mutex
+		rep     map[[2]string]*ClassReport
+		target  map[[2]string]trace.Class
 	}
 )
 
-// Run sends each request of a trace at its recorded time, to the targets in turn, and reports.
+// Run sends each request of a trace at its recorded time, to the ready targets in turn, and reports.
 func Run(ctx context.Context, tr *trace.Trace, opt Options) (*Report, error) {
 	if len(opt.Targets) == 0 {
 		return nil, errors.New("replay: no target")
@@ -76,7 +77,7 @@
 	t.MaxIdleConnsPerHost = 256
 	r := &runner{
 		opt: opt, tr: tr, client: &http.Client{Transport: t, Timeout: requestTimeout},
-		rep: map[[2]string]*ClassReport{}, target: map[[2]string]trace.Class{},
+		targets: newBalancer(opt.Targets), rep: map[[2]string]*ClassReport{}, target: map[[2]string]trace.Class{},
 	}
 	for _, c := range tr.Head.Classes {
 		key := [2]string{c.Customer, c.Class}
@@ -88,6 +89,7 @@
 	defer stop()
 	var wg conc.WaitGroup
 	wg.Go(func() { counts.poll(sctx) })
+	wg.Go(func() { r.targets.watch(sctx) })
 	wg.Go(func() { r.progress(sctx) })
 	start := time.Now()
 	r.drive(ctx, start)
@@ -127,8 +129,7 @@
 	start := time.Now()
 	var o outcome
 	for try := 0; ; try++ {
-		target := r.opt.Targets[(i+try)%len(r.opt.Targets)]
-		o = r.send(ctx, target, i, rec, start)
+		o = r.send(ctx, r.targets.pick(i+try), i, rec, start)
 		if o.code == "" || o.retry == 0 || try >= r.opt.Retries {
 			break
 		}
