--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,7 +18,9 @@
 	"github.com/greengagewheel/greengagewheel/internal/cell"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/memb"
 	"github.com/greengagewheel/greengagewheel/internal/meter"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
 	"github.com/greengagewheel/greengagewheel/internal/quorum"
 )
@@ -58,6 +60,7 @@
 		View   func() *ctrl.View
 		Age    func(now time.Time) time.Duration
 		Ready  func(now time.Time) error
+		Bound  time.Duration
 		Quorum *quorum.Client
 		Broker *broker.Broker
 		Meter  *meter.Meter
@@ -186,7 +189,7 @@
 	}
 	if ch.Wait {
 		start := time.Now()
-		if out.Members, err = a.inForce(ctx, res.Version); err != nil {
+		if out.Members, err = a.inForce(ctx, res.Version, start); err != nil {
 			out.Reason = "accepted, but not yet seen in force everywhere"
 		}
 		out.Waited = time.Since(start)
@@ -194,17 +197,18 @@
 	return c.JSON(out)
 }
 
-// inForce waits until each instance has applied a version or has lapsed, and returns how many have it.
-func (a *Admin) inForce(ctx context.Context, version uint64) (int, error) {
+// inForce waits until each instance has applied a version that was accepted before a moment, or has lapsed.
+// It returns how many are known to have it.
+func (a *Admin) inForce(ctx context.Context, version uint64, accepted time.Time) (int, error) {
+	members := 1
 	for {
 		v, err := a.opt.Quorum.Read(ctx, quorum.Query{Least: true})
-		if err == nil && v.Least >= version {
-			return v.Members, nil
+		members = max(members, v.Members)
+		if err == nil && v.Least >= version || memb.Lapsed(time.Now(), accepted, a.opt.Bound) {
+			return members, nil
 		}
-		select {
-		case <-ctx.Done():
+		if !pace.Pause(ctx, waitEvery) {
 			return 0, errors.Join(ctx.Err(), err)
-		case <-time.After(waitEvery):
 		}
 	}
 }
--- a/internal/memb/proof.go
+++ b/internal/memb/proof.go
@@ -71,6 +71,12 @@
 	return p.valid && now.Sub(p.moment) < bound-bound*DriftPercent/100
 }
 
+// Lapsed reports whether each instance that has not heard of what was accepted at a moment has lapsed by now: a proof
+// that is still fresh is then of a later moment, and so of a configuration that holds it.
+func Lapsed(now, accepted time.Time, bound time.Duration) bool {
+	return now.Sub(accepted) > bound+bound*DriftPercent/100
+}
+
 // FromNews returns the moment that a parent's answer proves, where the pull was sent at sent.
 // The pull arrived no earlier than it was sent, so the moment is never too late but for drift over the time held.
 func FromNews(sent time.Time, n News) time.Time {
--- a/internal/memb/proof_test.go
+++ b/internal/memb/proof_test.go
@@ -68,6 +68,17 @@
 		So(least, ShouldEqual, 7)
 		So(count, ShouldEqual, 1)
 	})
+	Convey("What was accepted is in force everywhere once all older proofs have lapsed", t, func() {
+		accepted := time.Unix(100, 0)
+		var p Proof
+		p.Renew(accepted.Add(-time.Nanosecond))
+		for d := time.Duration(0); d < 4*time.Second; d += time.Millisecond {
+			if Lapsed(accepted.Add(d), accepted, 3*time.Second) {
+				So(p.Fresh(accepted.Add(d), 3*time.Second), ShouldBeFalse)
+			}
+		}
+		So(Lapsed(accepted.Add(3100*time.Millisecond), accepted, 3*time.Second), ShouldBeTrue)
+	})
 	Convey("A proof lapses before its bound by the drift that clocks may have", t, func() {
 		var p Proof
 		now := time.Unix(100, 0)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,7 +192,7 @@
 	})
 	n.orders = engctl.New(engctl.Options{Self: n.self, Log: n.quorum, Desired: n.desired, Engines: n.engines, Events: n.log})
 	n.admin = admin.New(admin.Options{
-		Self: n.self, Key: n.conf.Keys.Operator, View: n.spread.View, Age: n.spread.Age, Ready: n.entry.Ready,
+		Self: n.self, Key: n.conf.Keys.Operator, View: n.spread.View, Age: n.spread.Age, Ready: n.entry.Ready, Bound: n.conf.Fresh.Bound.Std(),
 		Quorum: n.quorum, Broker: n.broker, Meter: n.meter, Log: n.log,
 	})
 	n.peers = &http.Server{Handler: n.peerRoutes(), ReadHeaderTimeout: headTimeout}
