--- /dev/null
+++ b/internal/group/group_test.go
@@ -0,0 +1,99 @@
+package group
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/peer"
+	"github.com/greengagewheel/greengagewheel/internal/repl"
+)
+
+// ledger is a state machine that keeps each command with the index at which it was applied.
+type ledger struct {
+	lines map[string]uint64
+	order []string
+}
+
+func (l *ledger) Apply(index uint64, data []byte) any {
+	if l.lines[string(data)] != 0 {
+		panic("applied twice: " + string(data))
+	}
+	l.lines[string(data)] = index
+	l.order = append(l.order, string(data))
+	return index
+}
+
+func (l *ledger) Snapshot() ([]byte, error) {
+	return peer.Encode(l.order)
+}
+
+func (l *ledger) Restore(data []byte) error {
+	l.lines = map[string]uint64{}
+	if err := peer.Decode(data, &l.order); err != nil {
+		return err
+	}
+	for i, s := range l.order {
+		l.lines[s] = uint64(i + 1)
+	}
+	return nil
+}
+
+// run starts a lone replica on a folder; stop ends it.
+func run(dir string, l *ledger) (g *Group, stop func()) {
+	g, err := New(Options{
+		Name: "a", Dir: dir, Self: netip.MustParseAddrPort("127.0.0.1:1"), Links: peer.NewLinks("", netip.Addr{}),
+		Peers: []repl.Member{{Name: "a"}}, Machine: l, Log: zap.NewNop(), Seed: 1,
+	}, time.Now())
+	So(err, ShouldBeNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { g.Run(ctx) })
+	for g.Status().Role != repl.Leader.String() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return g, func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+func TestRestartAfterTenThousandChanges(t *testing.T) {
+	Convey("After 10,000 changes, of which most are in a snapshot, a restart brings back each of them once", t, func() {
+		const changes, writers = 10_000, 50
+		dir := t.TempDir()
+		l := &ledger{lines: map[string]uint64{}}
+		g, stop := run(dir, l)
+		var wg conc.WaitGroup
+		for w := range writers {
+			wg.Go(func() {
+				for i := w; i < changes; i += writers {
+					if _, err := g.Propose(context.Background(), fmt.Appendf(nil, "change %d", i)); err != nil {
+						panic(err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		So(g.Status().First, ShouldBeGreaterThan, 1)
+		stop()
+		back := &ledger{lines: map[string]uint64{}}
+		g, stop = run(dir, back)
+		_, err := g.Confirm(context.Background())
+		So(err, ShouldBeNil)
+		stop()
+		So(len(back.lines), ShouldEqual, changes)
+		for i := range changes {
+			if back.lines[fmt.Sprint("change ", i)] == 0 {
+				So(i, ShouldEqual, "not lost")
+			}
+		}
+		So(back.order, ShouldResemble, l.order)
+	})
+}
