--- a/internal/conf/units.go
+++ b/internal/conf/units.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/greengagewheel/greengagewheel/internal/contr"
 )
 
 var sizeUnits = []struct {
@@ -30,15 +32,9 @@
 
 // UnmarshalText decodes a span such as "3s"; a missing unit or a negative span is an error.
 func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil || string(text) == "0" {
-		return fmt.Errorf("%q is not a duration with a unit, such as \"3s\"", text)
-	}
-	if v < 0 {
-		return fmt.Errorf("%q is negative", text)
-	}
+	v, err := contr.ParseSpan(string(text))
 	*d = Duration(v)
-	return nil
+	return err
 }
 
 // MarshalText encodes the span with its units.
--- a/internal/contr/contr.go
+++ b/internal/contr/contr.go
@@ -75,17 +75,23 @@
 	return &Invalid{Key: key, Reason: fmt.Sprintf(format, args...)}
 }
 
-// UnmarshalText decodes a span such as "3s"; a missing unit or a negative span is an error.
-func (s *Span) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
-	if err != nil || string(text) == "0" {
-		return fmt.Errorf("%q is not a duration with a unit, such as \"3s\"", text)
+// ParseSpan decodes a span such as "3s"; a missing unit or a negative span is an error.
+func ParseSpan(text string) (time.Duration, error) {
+	d, err := time.ParseDuration(text)
+	if err != nil || text == "0" {
+		return 0, fmt.Errorf("%q is not a duration with a unit, such as \"3s\"", text)
 	}
 	if d < 0 {
-		return fmt.Errorf("%q is negative", text)
+		return 0, fmt.Errorf("%q is negative", text)
 	}
+	return d, nil
+}
+
+// UnmarshalText decodes a span as ParseSpan does.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := ParseSpan(string(text))
 	*s = Span(d)
-	return nil
+	return err
 }
 
 // MarshalText encodes the span with its units.
