rig: give each instance three addresses that differ

Cause: an instance's addresses were found one by one, each port given back before the next was asked for, so the system could give the same port twice; the instance then ended at its start ("bind: address already in use") and the test waited 30 s for it. Ruled out: a connection's own port taking a listener's (connections leave from 127.0.0.1, listeners are on an address of this rig's), founding, enrolment. Change: all three stay taken until all are found; the demo's test uses an address of the rig's; a start that ends is reported at once with its log.

--- a/internal/live/fleet_test.go
+++ b/internal/live/fleet_test.go
@@ -271,9 +271,3 @@
 	_ = json.NewDecoder(resp.Body).Decode(&out)
 	return out
 }
-
-// freeListen returns a loopback address with a port that is free now.
-func freeListen() (string, error) {
-	a, err := rig.FreeAddr("127.0.0.1")
-	return a.String(), err
-}
--- a/internal/live/golden_test.go
+++ b/internal/live/golden_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/greengagewheel/greengagewheel/internal/rig"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -150,9 +151,9 @@
 
 func TestDemo(t *testing.T) {
 	Convey("The demo prints a curl line that works, and stops cleanly", t, func() {
-		in, err := freeListen()
+		in, err := rig.FreeAddr()
 		So(err, ShouldBeNil)
-		cmd := exec.Command(filepath.Join(binDir, "greengagewheel"), "demo", "--listen", in)
+		cmd := exec.Command(filepath.Join(binDir, "greengagewheel"), "demo", "--listen", in.String())
 		var out bytes.Buffer
 		pr, pw := io.Pipe()
 		cmd.Stdout = io.MultiWriter(&out, pw)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -39,10 +39,17 @@
 	// The hosts of a rig's addresses: instances from firstInstance on, stand-ins from firstStandin on.
 	firstInstance = 11
 	firstStandin  = 101
+	otherHost     = 251
+	// An instance listens for callers, for operators and for other instances.
+	listeners = 3
 )
 
-// ErrNever tells that something waited for did not happen.
-var ErrNever = errors.New("never happened")
+var (
+	// ErrNever tells that something waited for did not happen.
+	ErrNever = errors.New("never happened")
+	// ErrEnded tells that an instance ended instead of starting.
+	ErrEnded = errors.New("process ended")
+)
 
 type (
 	// Instance is one instance of a rig.
@@ -84,14 +91,36 @@
 	}
 )
 
-// FreeAddr returns an address of the IP number with a port that is free now.
-func FreeAddr(ip string) (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", ip+":0")
+// FreeAddrs returns n different addresses of the IP number, with ports that are free now.
+func FreeAddrs(ip string, n int) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, fault.At("find free port", ip, err)
+		}
+		// Each stays taken until all are found: a port that was given back may be found again.
+		defer func() { _ = l.Close() }()
+		a, err := netip.ParseAddrPort(l.Addr().String())
+		if err != nil {
+			return nil, fault.At("find free port", ip, err)
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+// FreeAddr returns an address that no instance or stand-in of this process's rigs uses.
+func FreeAddr() (netip.AddrPort, error) {
+	return freeAddr(otherHost)
+}
+
+func freeAddr(n int) (netip.AddrPort, error) {
+	as, err := FreeAddrs(host(n), 1)
 	if err != nil {
-		return netip.AddrPort{}, fault.At("find free port", ip, err)
+		return netip.AddrPort{}, err
 	}
-	defer func() { _ = l.Close() }()
-	return netip.ParseAddrPort(l.Addr().String())
+	return as[0], nil
 }
 
 // host returns a loopback address that no other process uses: a port of a process that is down for a while
@@ -111,13 +140,11 @@
 			Dir:  filepath.Join(opt.Dir, fmt.Sprintf("data%d", i+1)),
 			Conf: filepath.Join(opt.Dir, fmt.Sprintf("i%d.toml", i+1)),
 		}
-		ip := host(firstInstance + i)
-		var err error
-		for _, a := range []*netip.AddrPort{&in.Callers, &in.Operators, &in.Peers} {
-			if *a, err = FreeAddr(ip); err != nil {
-				return nil, err
-			}
+		as, err := FreeAddrs(host(firstInstance+i), listeners)
+		if err != nil {
+			return nil, err
 		}
+		in.Callers, in.Operators, in.Peers = as[0], as[1], as[2]
 		in.Via = in.Peers
 		if opt.Proxy != nil {
 			in.Via = opt.Proxy(in.Name, in.Peers)
@@ -177,9 +204,12 @@
 // Ready waits until all instances are ready.
 func (r *Rig) Ready() error {
 	for _, in := range r.Instances {
-		if err := Until(in.Name+" is ready", in.Ready); err != nil {
+		if err := Until(in.Name+" is ready or has ended", func() bool { return in.Ended() || in.Ready() }); err != nil {
 			return err
 		}
+		if in.Ended() {
+			return fault.New("start", in.Name, "%w: %s", ErrEnded, in.Log())
+		}
 	}
 	return nil
 }
@@ -213,7 +243,7 @@
 
 // Standin starts a stand-in of a kind ("engine" or "service") that serves a model or service.
 func (r *Rig) Standin(kind, name, zone, serves string, extra ...string) (Standin, error) {
-	addr, err := FreeAddr(host(firstStandin + r.standins))
+	addr, err := freeAddr(firstStandin + r.standins)
 	if err != nil {
 		return Standin{}, err
 	}
