repl, entry, sched: one rule where it stood two to four times

One majority count for votes, commits, reads and contact; one peek at a caller's socket; the cell's rate from slots counted once; the dead fault.Is and bench's send are gone. Checked: repl, sched unit tests; live TestStreams, TestGoldenSessions, TestStopOfASchedulerWithAQueue.

--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"text/tabwriter"
@@ -317,7 +318,10 @@
 }
 
 func post(a netip.AddrPort, path string) {
-	if err := send(a, path); err != nil {
-		fmt.Fprintln(os.Stderr, "bench:", err)
+	resp, err := http.Post(fmt.Sprintf("http://%s%s", a, path), "", nil)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", fault.At("order fault", a.String(), err))
+		return
 	}
+	_ = resp.Body.Close()
 }
--- a/internal/entry/hangup.go
+++ b/internal/entry/hangup.go
@@ -8,20 +8,33 @@
 // hungUp reports whether the caller has closed its connection. The HTTP library does not look at a
 // connection while a request is handled, so the socket is peeked at; bytes waiting there count as life.
 func hungUp(c net.Conn) bool {
+	n, err := peek(c)
+	return n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+}
+
+// unread reports whether bytes from the caller wait to be read.
+func unread(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
+// peek looks for a byte on the connection's socket without taking it; EAGAIN tells that none is there.
+func peek(c net.Conn) (n int, err error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, syscall.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
-	gone := false
-	err = raw.Read(func(fd uintptr) bool {
+	failed := raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = n == 0 && e == nil || e != nil && e != syscall.EAGAIN && e != syscall.EINTR
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return gone || err != nil
+	if failed != nil {
+		return 0, failed
+	}
+	return n, err
 }
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -59,22 +59,6 @@
 	return c.TCPConn.Close()
 }
 
-// unread reports whether bytes from the caller wait to be read.
-func unread(t *net.TCPConn) bool {
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waits := false
-	_ = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waits = err == nil && n > 0
-		return true
-	})
-	return waits
-}
-
 func limitSilence(t *net.TCPConn) {
 	raw, err := t.SyscallConn()
 	if err != nil {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -1,7 +1,6 @@
 package fault
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/ansel1/merry/v2"
@@ -42,8 +41,3 @@
 	peer, _ := merry.Value(err, peerKey).(string)
 	return peer
 }
-
-// Is reports whether err or one of its causes is target.
-func Is(err, target error) bool {
-	return errors.Is(err, target)
-}
--- a/internal/repl/append.go
+++ b/internal/repl/append.go
@@ -164,7 +164,7 @@
 		if t, _ := c.termAt(i); t != c.hard.Term {
 			return
 		}
-		if c.held(i) >= c.conf.Quorum() {
+		if c.conf.majority(func(m Member) bool { return c.prog[m.ID].match >= i }) {
 			c.applyTo(i)
 			c.stepDownIfRemoved()
 			return
@@ -172,16 +172,6 @@
 	}
 }
 
-func (c *Core) held(index uint64) int {
-	n := 0
-	for _, m := range c.conf.Members {
-		if m.Voter && c.prog[m.ID].match >= index {
-			n++
-		}
-	}
-	return n
-}
-
 func (c *Core) onInstall(m Msg) {
 	c.hear(m)
 	if m.Snap.Index <= c.commit {
@@ -222,13 +212,7 @@
 func (c *Core) confirm() {
 	for len(c.reads) > 0 {
 		r := c.reads[0]
-		n := 0
-		for _, m := range c.conf.Members {
-			if m.Voter && (m.ID == c.id || c.prog[m.ID].round >= r.round) {
-				n++
-			}
-		}
-		if n < c.conf.Quorum() {
+		if !c.conf.majority(func(m Member) bool { return m.ID == c.id || c.prog[m.ID].round >= r.round }) {
 			return
 		}
 		c.out.Reads = append(c.out.Reads, Read{Round: r.round, Index: r.index})
--- a/internal/repl/core.go
+++ b/internal/repl/core.go
@@ -176,16 +176,9 @@
 
 // heardQuorum reports whether a majority answered within the shortest election time.
 func (c *Core) heardQuorum(now time.Time) bool {
-	n := 0
-	for _, m := range c.conf.Members {
-		if !m.Voter {
-			continue
-		}
-		if m.ID == c.id || now.Sub(c.prog[m.ID].heard) < ElectionLongest {
-			n++
-		}
-	}
-	return n >= c.conf.Quorum()
+	return c.conf.majority(func(m Member) bool {
+		return m.ID == c.id || now.Sub(c.prog[m.ID].heard) < ElectionLongest
+	})
 }
 
 // Step takes in a message.
--- a/internal/repl/elect.go
+++ b/internal/repl/elect.go
@@ -34,13 +34,7 @@
 
 // won goes on to the real election, or to leading, once the votes suffice.
 func (c *Core) won() bool {
-	n := 0
-	for _, m := range c.conf.Members {
-		if m.Voter && c.votes[m.ID] {
-			n++
-		}
-	}
-	if n < c.conf.Quorum() {
+	if !c.conf.majority(func(m Member) bool { return c.votes[m.ID] }) {
 		return false
 	}
 	if c.pre {
--- a/internal/repl/types.go
+++ b/internal/repl/types.go
@@ -191,6 +191,17 @@
 	return c.Voters()/2 + 1
 }
 
+// majority reports whether holds is true of a majority of the voters.
+func (c Conf) majority(holds func(Member) bool) bool {
+	n := 0
+	for _, m := range c.Members {
+		if m.Voter && holds(m) {
+			n++
+		}
+	}
+	return n >= c.Quorum()
+}
+
 func (c Conf) without(id string) Conf {
 	var out Conf
 	for _, m := range c.Members {
--- a/internal/sched/pick.go
+++ b/internal/sched/pick.go
@@ -16,7 +16,8 @@
 	if free == 0 {
 		return
 	}
-	slots, rate := c.slots(now), c.rate(now)
+	slots := c.slots(now)
+	rate := c.rate(slots)
 	c.rest = min(c.rest+now.Sub(c.restAt).Seconds()*restShare*rate, max(1, restShare*slots))
 	c.restAt = now
 	skip := map[*flow]bool{}
--- a/internal/sched/shed.go
+++ b/internal/sched/shed.go
@@ -18,15 +18,15 @@
 	return sum
 }
 
-// rate returns the grants a second that the cell can give.
-func (c *Core) rate(now time.Time) float64 {
-	return c.slots(now) / max(c.service, 0.001)
+// rate returns the grants a second that so many slots can give.
+func (c *Core) rate(slots float64) float64 {
+	return slots / max(c.service, 0.001)
 }
 
 // delay predicts how long the last item of a flow waits: behind all of its tier and above,
 // or behind its own flow at the guaranteed rate, whichever is less.
 func (c *Core) delay(now time.Time, f *flow) time.Duration {
-	rate := c.rate(now)
+	rate := c.rate(c.slots(now))
 	if rate == 0 {
 		return maxRetry
 	}
