--- a/internal/broker/announce.go
+++ b/internal/broker/announce.go
@@ -29,7 +29,7 @@
 	var err error
 	for range tries {
 		var addr netip.AddrPort
-		if addr, err = b.holder(ctx, o, true); err != nil {
+		if addr, err = b.holder(ctx, o, a.Kind); err != nil {
 			return err
 		}
 		if _, err = b.call(ctx, o, addr, cell.Order{Announce: &a}, callTimeout); err == nil {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -109,8 +109,9 @@
 	return o
 }
 
-// holder returns the address of a cell's scheduler, and looks for it where it is not known.
-func (b *Broker) holder(ctx context.Context, o *cellClient, create bool) (netip.AddrPort, error) {
+// holder returns the address of a cell's scheduler, and looks for it where it is not known; create is the kind of a new cell's
+// endpoints, or "" where none is made.
+func (b *Broker) holder(ctx context.Context, o *cellClient, create endpt.Kind) (netip.AddrPort, error) {
 	if addr, ok := o.known(); ok {
 		return addr, nil
 	}
@@ -122,7 +123,7 @@
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	sent := time.Now()
-	q := quorum.Holder{Cell: o.name, Asker: b.opt.Self, Create: create, Decline: b.opt.Cells.Closed()}
+	q := quorum.Holder{Cell: o.name, Asker: b.opt.Self, Create: create != "", Kind: create, Decline: b.opt.Cells.Closed()}
 	res, err := b.opt.Find.Holder(ctx, q)
 	if err != nil {
 		return netip.AddrPort{}, fault.At("find scheduler", o.name, err)
@@ -223,7 +224,7 @@
 	waited := a.Waited
 	var last error
 	for ctx.Err() == nil {
-		addr, err := b.holder(ctx, o, false)
+		addr, err := b.holder(ctx, o, "")
 		if errors.Is(err, ErrNoCell) {
 			return sched.Verdict{}, nil, err
 		}
@@ -274,7 +275,7 @@
 	out := map[string]sched.State{}
 	for _, name := range names {
 		o := b.cellClient(name)
-		addr, err := b.holder(ctx, o, false)
+		addr, err := b.holder(ctx, o, "")
 		if err != nil {
 			continue
 		}
--- a/internal/broker/report.go
+++ b/internal/broker/report.go
@@ -53,7 +53,7 @@
 	ctx, cancel := context.WithTimeout(b.ctx, doneTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		addr, err := b.holder(ctx, o, false)
+		addr, err := b.holder(ctx, o, "")
 		if err == nil {
 			if _, err = b.call(ctx, o, addr, cell.Order{Done: batch}, callTimeout); err == nil {
 				return
@@ -72,7 +72,7 @@
 		if idle {
 			return
 		}
-		if addr, err := b.holder(b.ctx, o, false); err == nil {
+		if addr, err := b.holder(b.ctx, o, ""); err == nil {
 			b.report(o, addr)
 		}
 	})
--- a/internal/ctrl/command.go
+++ b/internal/ctrl/command.go
@@ -7,6 +7,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/claim"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/order"
+	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
 // Codes of a Result.
@@ -69,11 +70,12 @@
 		Boot string `json:"boot"`
 	}
 
-	// Acquire takes a cell's lease if its epoch is still Seen.
+	// Acquire takes a cell's lease if its epoch is still Seen; Kind is the kind of a new cell's endpoints.
 	Acquire struct {
-		Cell   string   `json:"cell"`
-		Seen   uint64   `json:"seen"`
-		Holder Instance `json:"holder"`
+		Cell   string     `json:"cell"`
+		Seen   uint64     `json:"seen"`
+		Holder Instance   `json:"holder"`
+		Kind   endpt.Kind `json:"kind,omitempty"`
 	}
 
 	// Renew renews the named leases of a boot, or gives all of its leases up.
--- a/internal/ctrl/items.go
+++ b/internal/ctrl/items.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/greengagewheel/greengagewheel/internal/contr"
+	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
 // Kinds of configuration item.
@@ -39,7 +40,7 @@
 		Contracts *contr.Set
 		Instances map[string]Instance
 		Prints    map[string]Print
-		Cells     map[string]bool
+		Cells     map[string]endpt.Kind
 	}
 )
 
@@ -97,7 +98,7 @@
 	}
 	for name, l := range s.Leases {
 		if l.Mod > version {
-			items = append(items, item(KindCell, name, l.Mod, true))
+			items = append(items, item(KindCell, name, l.Mod, l.Kind))
 		}
 	}
 	for id, mod := range s.Gone {
--- a/internal/ctrl/leases.go
+++ b/internal/ctrl/leases.go
@@ -28,13 +28,13 @@
 func (s *State) acquire(a Acquire) Result {
 	l := s.Leases[a.Cell]
 	if l == nil {
-		l = &Lease{Mod: s.next()}
+		l = &Lease{Mod: s.next(), Kind: a.Kind}
 		s.Leases[a.Cell] = l
 	}
 	if l.Epoch != a.Seen {
 		return Result{Code: Held, Epoch: l.Epoch, Holder: l.Holder}
 	}
-	*l = Lease{Epoch: a.Seen + 1, Holder: a.Holder, Mod: l.Mod}
+	*l = Lease{Epoch: a.Seen + 1, Holder: a.Holder, Mod: l.Mod, Kind: l.Kind}
 	return Result{Code: OK, Epoch: l.Epoch, Holder: l.Holder}
 }
 
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -4,6 +4,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/claim"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/order"
+	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
 const (
@@ -20,10 +21,11 @@
 type (
 	// Lease is who schedules a cell.
 	Lease struct {
-		Epoch    uint64   `json:"epoch"`
-		Holder   Instance `json:"holder"`
-		Released bool     `json:"released,omitempty"`
-		Mod      uint64   `json:"mod"`
+		Epoch    uint64     `json:"epoch"`
+		Holder   Instance   `json:"holder"`
+		Released bool       `json:"released,omitempty"`
+		Mod      uint64     `json:"mod"`
+		Kind     endpt.Kind `json:"kind,omitempty"`
 	}
 
 	// Signed is a contract with the version and author of its last change.
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -22,11 +22,11 @@
 	return a, cells, nil
 }
 
-// served returns the models and services that were ever announced in this region, by name.
+// served returns the models that were ever announced in this region, by name.
 func (e *Entry) served() []string {
 	var out []string
-	for c := range e.opt.View().Cells {
-		if name, ok := strings.CutSuffix(c, "@"+e.opt.Self.Region); ok {
+	for c, kind := range e.opt.View().Cells {
+		if name, ok := strings.CutSuffix(c, "@"+e.opt.Self.Region); ok && kind == endpt.Engine {
 			out = append(out, name)
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/relay"
 	"github.com/greengagewheel/greengagewheel/internal/retry"
 	"github.com/greengagewheel/greengagewheel/pkg/chat"
+	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
 const (
@@ -180,8 +181,8 @@
 	return c.Status(p.status).JSON(p.body())
 }
 
-// admit authenticates a request for a model or service and finds its class.
-func (e *Entry) admit(c *fiber.Ctx, what string) (*caller, *problem) {
+// admit authenticates a request for a model or service, by the kind of its endpoints, and finds its class.
+func (e *Entry) admit(c *fiber.Ctx, what string, kind endpt.Kind) (*caller, *problem) {
 	now := time.Now()
 	key, _ := strings.CutPrefix(c.Get("Authorization"), "Bearer ")
 	if !e.opt.Fresh(now) {
@@ -197,7 +198,7 @@
 		return nil, newProblem(http.StatusBadRequest, codeBad, unsure(c), "%s", err.Error())
 	}
 	cl := &caller{contract: contract, class: class, arrived: now, series: e.opt.Meter.Class(contract.Customer, class.Name)}
-	if what != "" && (!contract.Allows(what) || !e.opt.View().Cells[e.cell(what)]) {
+	if what != "" && (!contract.Allows(what) || e.opt.View().Cells[e.cell(what)] != kind) {
 		return cl, newProblem(http.StatusNotFound, codeModel, unsure(c), "no model or service %q", what)
 	}
 	return cl, nil
@@ -247,7 +248,7 @@
 }
 
 func (e *Entry) models(c *fiber.Ctx) error {
-	cl, p := e.admit(c, "")
+	cl, p := e.admit(c, "", endpt.Engine)
 	if p != nil {
 		return e.fail(c, p)
 	}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -17,6 +17,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/relay"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
 	"github.com/greengagewheel/greengagewheel/pkg/chat"
+	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
 const (
@@ -56,7 +57,7 @@
 func (e *Entry) generate(c *fiber.Ctx, isChat bool) error {
 	body := c.Body()
 	req, err := chat.Decode(body, isChat)
-	cl, p := e.admit(c, req.Model)
+	cl, p := e.admit(c, req.Model, endpt.Engine)
 	if cl != nil && err != nil {
 		p = newProblem(http.StatusBadRequest, codeBad, chat.RanNo, "%s", err.Error())
 	}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -25,11 +25,12 @@
 // listener sets up the connections of callers so that silent ones are found.
 type listener struct {
 	net.Listener
+	silence time.Duration
 }
 
 // Listener returns a listener whose connections break when a caller has been silent for long.
 func Listener(l net.Listener) net.Listener {
-	return listener{l}
+	return listener{Listener: l, silence: silentCaller}
 }
 
 // Accept waits for the next connection.
@@ -43,7 +44,7 @@
 		return c, nil
 	}
 	_ = t.SetKeepAlivePeriod(keepAlive)
-	limitSilence(t)
+	limitSilence(t, l.silence)
 	return conn{t}, nil
 }
 
@@ -59,12 +60,12 @@
 	return c.TCPConn.Close()
 }
 
-func limitSilence(t *net.TCPConn) {
+func limitSilence(t *net.TCPConn, d time.Duration) {
 	raw, err := t.SyscallConn()
 	if err != nil {
 		return
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silentCaller.Milliseconds()))
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
 	})
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -16,6 +16,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/retry"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
 	"github.com/greengagewheel/greengagewheel/pkg/chat"
+	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
 // serviceCall is one call of a plain service.
@@ -29,7 +30,7 @@
 
 func (e *Entry) service(c *fiber.Ctx) error {
 	name := c.Params("name")
-	cl, p := e.admit(c, name)
+	cl, p := e.admit(c, name, endpt.Service)
 	if p != nil {
 		return e.refuse(c, cl, p)
 	}
--- a/internal/live/path_test.go
+++ b/internal/live/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -45,6 +46,25 @@
 		So(other.status, ShouldEqual, http.StatusUnprocessableEntity)
 		So(ran(svc.Addr)["k1"], ShouldEqual, 1)
 	})
+	Convey("The models are listed without the services, and neither is reached by the other's path", t, func() {
+		q, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v1/models", f.Instances[0].Callers), nil)
+		q.Header.Set("Authorization", "Bearer "+callKey)
+		s, err := ask(q)
+		So(err, ShouldBeNil)
+		So(s.raw, ShouldEqual, `{"object":"list","data":[{"id":"m","object":"model","created":0,"owned_by":"greengagewheel"}]}`)
+		q, _ = http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/v1/services/m/book", f.Instances[0].Callers), strings.NewReader("{}"))
+		q.Header.Set("Authorization", "Bearer "+callKey)
+		q.Header.Set("Idempotency-Key", "no-service")
+		s, err = ask(q)
+		So(err, ShouldBeNil)
+		So(s.status, ShouldEqual, http.StatusNotFound)
+		q, _ = http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/v1/chat/completions", f.Instances[0].Callers),
+			strings.NewReader(`{"model":"bookings","messages":[{"role":"user","content":"x"}]}`))
+		q.Header.Set("Authorization", "Bearer "+callKey)
+		s, err = ask(q)
+		So(err, ShouldBeNil)
+		So(s.status, ShouldEqual, http.StatusNotFound)
+	})
 	Convey("Each refusal says why and that the request did not run", t, func() {
 		s, err := f.at(1).chat(context.Background(), "wrong", "quick", "", "x", false)
 		So(err, ShouldBeNil)
--- a/internal/node/demo.go
+++ b/internal/node/demo.go
@@ -30,7 +30,7 @@
 
 func (n *Node) served(names []string) bool {
 	for _, name := range names {
-		if !n.spread.View().Cells[cell.Name(name, n.self.Region)] {
+		if _, ok := n.spread.View().Cells[cell.Name(name, n.self.Region)]; !ok {
 			return false
 		}
 	}
--- a/internal/quorum/server.go
+++ b/internal/quorum/server.go
@@ -13,6 +13,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/group"
 	"github.com/greengagewheel/greengagewheel/internal/repl"
+	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
 type (
@@ -28,12 +29,13 @@
 		Result ctrl.Result    `json:"result"`
 	}
 
-	// Holder asks who schedules a cell; who asks takes the lease if it is free. Create allows a cell that never was;
-	// Decline only asks, as one that stops does.
+	// Holder asks who schedules a cell; who asks takes the lease if it is free. Create allows a cell that never was, for
+	// endpoints of Kind; Decline only asks, as one that stops does.
 	Holder struct {
 		Cell    string        `json:"cell"`
 		Asker   ctrl.Instance `json:"asker"`
 		Create  bool          `json:"create,omitempty"`
+		Kind    endpt.Kind    `json:"kind,omitempty"`
 		Decline bool          `json:"decline,omitempty"`
 	}
 
@@ -120,7 +122,7 @@
 	if h.Decline {
 		return Outcome{Lead: true, Result: ctrl.Result{Code: ctrl.Held, Epoch: l.Epoch}}, nil
 	}
-	cmd := ctrl.Command{Lease: &ctrl.Acquire{Cell: h.Cell, Seen: l.Epoch, Holder: h.Asker}}
+	cmd := ctrl.Command{Lease: &ctrl.Acquire{Cell: h.Cell, Seen: l.Epoch, Holder: h.Asker, Kind: h.Kind}}
 	return s.Propose(ctx, Proposal{Command: cmd})
 }
 
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -17,6 +17,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/memb"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
+	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
 const (
@@ -69,7 +70,7 @@
 func New(opt Options) *Spread {
 	s := &Spread{opt: opt, items: map[string]ctrl.Item{}, children: memb.NewChildren(opt.Bound), news: make(chan struct{}),
 		poke: make(chan struct{}, 1)}
-	s.view.Store(&ctrl.View{Contracts: contr.NewSet(0, nil), Instances: map[string]ctrl.Instance{}, Prints: map[string]ctrl.Print{}, Cells: map[string]bool{}})
+	s.view.Store(&ctrl.View{Contracts: contr.NewSet(0, nil), Instances: map[string]ctrl.Instance{}, Prints: map[string]ctrl.Print{}, Cells: map[string]endpt.Kind{}})
 	return s
 }
 
@@ -252,7 +253,7 @@
 	book := old.Contracts
 	if full {
 		book = contr.NewSet(0, nil)
-		v.Instances, v.Prints, v.Cells = map[string]ctrl.Instance{}, map[string]ctrl.Print{}, map[string]bool{}
+		v.Instances, v.Prints, v.Cells = map[string]ctrl.Instance{}, map[string]ctrl.Print{}, map[string]endpt.Kind{}
 		changed = slices.Collect(maps.Values(all))
 	} else {
 		v.Instances, v.Prints, v.Cells = maps.Clone(old.Instances), maps.Clone(old.Prints), maps.Clone(old.Cells)
@@ -280,7 +281,10 @@
 			v.Instances[it.Key] = i
 		}
 	case ctrl.KindCell:
-		v.Cells[it.Key] = true
+		var k endpt.Kind
+		if cbor.Unmarshal(it.Data, &k) == nil {
+			v.Cells[it.Key] = k
+		}
 	case ctrl.KindPrint:
 		var p ctrl.Print
 		delete(v.Prints, it.Key)
