sched, broker, entry: hold an endpoint to its leaving; give late grants back

Cause: an announcement made before an endpoint left could reach the scheduler after the one that told so (held up in an instance that looked for the scheduler, or in a frozen scheduler's sockets) and make it live again; the age of a repeated delivery was sent as 0. A grant that came while its instance was frozen was used without a look at how current the instance is. Found by reading. Change: the age is sent; an endpoint that announced that it leaves stays so for 5 s after; an instance whose configuration is no longer proven gives a grant back before the first send. A run counts as sent by its sends, not its attempts. Before: the new case of TestEndpoints granted to the endpoint that had left. After: it does not, and does once 6 s have passed without "leaving". The give-back was not seen failing: no test freezes an instance in that window.

--- a/internal/broker/announce.go
+++ b/internal/broker/announce.go
@@ -24,7 +24,8 @@
 	const tries = 3
 	o := b.cellClient(name)
 	o.mu.Lock()
-	o.anns[a.Name] = announcement{ann: a, at: time.Now()}
+	at := time.Now()
+	o.anns[a.Name] = announcement{ann: a, at: at}
 	o.mu.Unlock()
 	var err error
 	for range tries {
@@ -32,7 +33,7 @@
 		if addr, err = b.holder(ctx, o, a.Kind); err != nil {
 			return err
 		}
-		if _, err = b.call(ctx, o, addr, cell.Order{Announce: &a}, callTimeout); err == nil {
+		if _, err = b.call(ctx, o, addr, cell.Order{Announce: &a, Age: time.Since(at)}, callTimeout); err == nil {
 			return nil
 		}
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -14,7 +14,6 @@
 	"github.com/greengagewheel/greengagewheel/internal/relay"
 	"github.com/greengagewheel/greengagewheel/internal/retry"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
-	"github.com/greengagewheel/greengagewheel/pkg/chat"
 )
 
 // attempt relays the run from one endpoint, from where it stands.
@@ -62,30 +61,25 @@
 		e.reportCrash(j.print, v.Target.Boot)
 	}
 	j.attempt++
+	if !unsent {
+		j.sends++
+	}
 	j.avoid = append(j.avoid, v.Target.Boot)
 	switch {
 	case blind && j.run.offset() == 0 && j.attempt < retry.MaxAttempts:
 		return false, nil
 	case blind:
-		return true, failed(err, j.ranAfter(unsent))
+		return true, failed(err, j.ran())
 	case j.crashes >= 2:
-		p := newProblem(http.StatusUnprocessableEntity, codeQuarantined, j.ranAfter(unsent),
+		p := newProblem(http.StatusUnprocessableEntity, codeQuarantined, j.ran(),
 			"this request crashed the endpoints that ran it and is not run again")
 		return true, p
 	case j.attempt >= retry.MaxAttempts || !e.budget.Spend():
-		return true, failed(err, j.ranAfter(unsent))
+		return true, failed(err, j.ran())
 	}
 	return false, nil
 }
 
-// ranAfter is ran for a run whose last attempt may not have been sent.
-func (j *job) ranAfter(unsent bool) string {
-	if unsent && j.attempt == 1 && !j.named {
-		return chat.RanNo
-	}
-	return j.ran()
-}
-
 // reportCrash reports a crash through the log before the request runs anywhere else.
 func (e *Entry) reportCrash(print, boot string) {
 	ctx, cancel := context.WithTimeout(e.ctx, poisonTimeout)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -45,6 +45,7 @@
 		return true, newProblem(http.StatusServiceUnavailable, codeGone, chat.RanUnknown, "the caller has gone")
 	}
 	j.steal = true
+	j.sends++
 	j.attempt++
 	if j.attempt >= retry.MaxAttempts {
 		return true, failed(err, chat.RanUnknown)
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -42,6 +42,7 @@
 	blocks  []uint64
 	run     *run
 	attempt int
+	sends   int
 	avoid   []string
 	solo    bool
 	steal   bool
@@ -184,11 +185,16 @@
 		return true, newProblem(http.StatusNotFound, codeModel, j.ran(), "no model %q", j.model)
 	case err != nil:
 		return true, newProblem(http.StatusServiceUnavailable, codeGone, j.ran(), "the caller has gone")
+	}
+	j.known = j.known || j.attempt == 0 && !v.Before
+	switch {
 	case v.Verb == sched.Refused:
-		j.known = !v.Before
 		return true, refused(v, j.ran())
 	case v.Verb == sched.Elsewhere:
 		return e.elsewhere(ctx, j, v)
+	case j.run.offset() == 0 && !e.opt.Fresh(time.Now()):
+		e.putBack(ctx, j, held)
+		return false, nil
 	}
 	if j.attempt == 0 {
 		j.cl.series.Queued(v.Queued)
@@ -196,6 +202,13 @@
 	return e.attempt(ctx, j, v, held)
 }
 
+// putBack gives up a grant that came while this instance was held up for long: the endpoint may have left since.
+func (e *Entry) putBack(ctx context.Context, j *job, held *broker.Run) {
+	e.opt.Broker.Finish(j.cell, held, sched.Done{Unsent: true})
+	j.attempt++
+	pace.Pause(ctx, hangCheck)
+}
+
 func (e *Entry) ask(j *job) sched.Ask {
 	return sched.Ask{
 		ID: j.run.id, Entry: e.opt.Self.Boot, Addr: e.opt.Self.Addr, Customer: j.cl.contract.Customer, Class: j.cl.class.Name,
@@ -210,7 +223,7 @@
 	switch {
 	case j.run.offset() > 0:
 		return chat.RanYes
-	case j.attempt > 0 || j.named && !j.known:
+	case j.sends > 0 || j.named && !j.known:
 		return chat.RanUnknown
 	}
 	return chat.RanNo
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -24,6 +24,9 @@
 	floorPart = 4
 	shrink    = 0.9
 	roomy     = 0.8
+	// stayLeaving is how long an endpoint that announced that it leaves is held to it: an announcement from before may
+	// come late, through an instance or a scheduler that was held up.
+	stayLeaving = 5 * time.Second
 	// probeEvery is the time between two probing requests to a straggler.
 	probeEvery = 2 * time.Second
 )
@@ -45,11 +48,12 @@
 	samples  int
 	adapted  time.Time
 	probed   time.Time
+	left     time.Time
 }
 
 // NewEndpoint returns an endpoint that was just announced; shared tells that others send it requests too.
 func NewEndpoint(now time.Time, a endpt.Announce, shared bool) *Endpoint {
-	return &Endpoint{Ann: a, Seen: now, Limit: float64(a.Slots), shared: shared}
+	return &Endpoint{Ann: a, Seen: now, Limit: float64(a.Slots), shared: shared, left: now}
 }
 
 // Update takes in a newer announcement of the same boot.
@@ -57,6 +61,11 @@
 	if a.Slots != e.Ann.Slots {
 		e.Limit = float64(a.Slots)
 	}
+	if e.Ann.Leaving && !a.Leaving && now.Sub(e.left) < stayLeaving {
+		a.Leaving = true
+	} else if a.Leaving {
+		e.left = now
+	}
 	e.Ann, e.Seen, e.Down = a, now, false
 }
 
--- a/internal/sched/join.go
+++ b/internal/sched/join.go
@@ -55,5 +55,5 @@
 }
 
 func (c *Core) grantAgain(a *Ask, r *run) {
-	c.out = append(c.out, Verdict{ID: a.ID, Asker: a.Entry, Attempt: a.Attempt, Verb: Granted, Epoch: c.epoch, Target: r.target})
+	c.out = append(c.out, Verdict{ID: a.ID, Asker: a.Entry, Attempt: a.Attempt, Verb: Granted, Epoch: c.epoch, Target: r.target, Before: a.Named})
 }
--- a/internal/sched/pick.go
+++ b/internal/sched/pick.go
@@ -204,12 +204,14 @@
 	it.reserved = 0
 	c.dequeue(it)
 	c.running[it.ask.ID] = r
+	before := c.past.mayHaveRun(now, &it.ask)
 	c.past.note(now, &it.ask)
 	it.flow.running++
 	it.flow.grants++
 	it.flow.served = now
 	c.out = append(c.out, Verdict{
 		ID: it.ask.ID, Asker: it.ask.Entry, Attempt: it.ask.Attempt, Verb: Granted, Epoch: c.epoch, Target: r.target, Queued: now.Sub(it.arrived),
+		Before: before,
 	})
 }
 
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -283,6 +283,16 @@
 		c.now = c.now.Add(endpt.Stale)
 		So(c.got[c.offer("k")].Verb, ShouldEqual, Wait)
 	})
+	Convey("A late announcement from before an endpoint left does not bring it back, one much later does", t, func() {
+		c := newCell(1, 1, 4, map[string]Terms{"k": someTerms(1, 0)})
+		c.announce(true)
+		c.now = c.now.Add(time.Second)
+		c.announce(false)
+		So(c.got[c.offer("k")].Verb, ShouldNotEqual, Granted)
+		c.now = c.now.Add(6 * time.Second)
+		c.announce(false)
+		So(c.got[c.offer("k")].Verb, ShouldEqual, Granted)
+	})
 	Convey("A new scheduler grants nothing until it was told what runs, and then not beyond the slots", t, func() {
 		opt := Options{Queue: 10, Settle: 500 * time.Millisecond}
 		core := New(t0, 2, opt)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -98,7 +98,7 @@
 		Lookup bool           `json:"lookup,omitempty"`
 	}
 
-	// Verdict answers an ask of the entry Asker; Before tells of a refusal that an earlier sending of the request may have run.
+	// Verdict answers an ask of the entry Asker; Before tells that an earlier sending of the request may have run.
 	Verdict struct {
 		ID      string         `json:"id"`
 		Asker   string         `json:"asker"`
