group: a leader whose storage failed says so

Cause: a replica whose folder could not be written stopped its loop but not its greeting, so it never counted as stopped: proposals to it hung until their timeout, and its status said that it led. Found by reading. Change: the loop's end ends its other work, empties the status, and proposals and reads answer ErrStopped at once. The process serves on as an entry. Before: TestLostStorage failed. After: it passes.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -136,9 +136,11 @@
 
 // Run works until the context ends; it must be called once.
 func (g *Group) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
 	g.ctx = ctx
 	defer close(g.done)
 	defer g.wg.Wait()
+	defer cancel()
 	g.wg.Go(func() { g.enroll(ctx) })
 	t := time.NewTicker(tick)
 	defer t.Stop()
@@ -163,6 +165,7 @@
 		if err := g.flush(); err != nil {
 			g.opt.Log.Error("replica stops: storage failed", zap.Error(err))
 			g.failAll(err)
+			g.retire()
 			return
 		}
 	}
@@ -278,6 +281,14 @@
 	g.mu.Unlock()
 }
 
+// retire makes the status that of a replica that takes no part.
+func (g *Group) retire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.status.Role, g.status.Leader = repl.Follower.String(), ""
+	g.leader = repl.Member{}
+}
+
 // Status returns a view of the replica.
 func (g *Group) Status() repl.Status {
 	g.mu.RLock()
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -97,3 +98,24 @@
 		So(back.order, ShouldResemble, l.order)
 	})
 }
+
+func TestLostStorage(t *testing.T) {
+	Convey("A leader whose folder is gone answers with an error and no longer says that it leads", t, func() {
+		dir := t.TempDir()
+		g, stop := run(dir, &ledger{lines: map[string]uint64{}})
+		defer stop()
+		So(os.RemoveAll(dir), ShouldBeNil)
+		var err error
+		for i := 0; err == nil && i < 2*snapEvery; i++ {
+			_, err = g.Propose(context.Background(), fmt.Appendf(nil, "change %d", i))
+		}
+		So(err, ShouldNotBeNil)
+		_, err = g.Propose(context.Background(), []byte("one more"))
+		So(err, ShouldEqual, ErrStopped)
+		_, err = g.Confirm(context.Background())
+		So(err, ShouldEqual, ErrStopped)
+		So(g.Status().Role, ShouldNotEqual, repl.Leader.String())
+		_, known := g.Leader()
+		So(known, ShouldBeFalse)
+	})
+}
