--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -95,7 +95,7 @@
 }
 
 type slopesCmd struct {
-	Only []string `long:"only" description:"sched, log, spread, contracts, force, gap or overhead; may be repeated; all if not given"`
+	Only []string `long:"only" description:"sched, log, claims, spread, contracts, force, gap, overhead or streams; may be repeated; all if not given"`
 }
 
 // Execute measures the slopes and prints them.
@@ -114,11 +114,13 @@
 	}{
 		{"sched", func(string) error { return printSlopes(bench.SchedSlopes(), nil) }},
 		{"log", printLog},
+		{"claims", func(string) error { return printSlopes([]bench.Slope{bench.ClaimBytes()}, nil) }},
 		{"spread", func(bin string) error { return printSlopes(bench.SpreadSlopes(bin)) }},
 		{"contracts", func(bin string) error { return printSlopes(bench.ContractSlopes(bin)) }},
 		{"force", printForce},
 		{"gap", printGap},
 		{"overhead", printOverhead},
+		{"streams", func(bin string) error { return printSlopes(bench.StreamSlope(bin)) }},
 	}
 	for _, p := range parts {
 		if len(c.Only) > 0 && !slices.Contains(c.Only, p.name) {
--- a/internal/bench/schedslope.go
+++ b/internal/bench/schedslope.go
@@ -24,10 +24,11 @@
 	for _, n := range []int{12, 100, 400, 800, 1700} {
 		byEndpoints = append(byEndpoints, Point{float64(n), grantCost(10, n)})
 	}
+	queued := queuedBytes()
 	return []Slope{
 		Fit("scheduler: us per grant, by customers with a queue", "us", byCustomers),
 		Fit("scheduler: us per grant, by endpoints", "us", byEndpoints),
-		{Name: "scheduler: bytes per queued request", Unit: "B", Base: queuedBytes(), Points: []Point{{queuedMeasured, queuedBytes()}}},
+		{Name: "scheduler: bytes per queued request", Unit: "B", Base: queued, Points: []Point{{queuedMeasured, queued}}},
 	}
 }
 
@@ -86,12 +87,6 @@
 func queuedBytes() float64 {
 	now := time.Unix(0, 0)
 	core := sched.New(now, 1, sched.Options{Queue: 1_000_000})
-	heap := func() uint64 {
-		runtime.GC()
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return m.HeapAlloc
-	}
 	before := heap()
 	for i := range queuedMeasured {
 		core.Offer(now, fakeAsk(i, 500), sched.Terms{Tier: 1, Patience: time.Hour})
--- a/internal/bench/spreadslope.go
+++ b/internal/bench/spreadslope.go
@@ -21,7 +21,9 @@
 )
 
 const (
-	idleFor      = 8 * time.Second
+	// idleFor is the period in which each instance registers once.
+	idleFor      = 20 * time.Second
+	idleSettle   = 3 * time.Second
 	ticksPerSec  = 100
 	changesTotal = 200
 	killEvery    = 48
@@ -135,6 +137,7 @@
 		if err != nil {
 			return nil, err
 		}
+		time.Sleep(idleSettle)
 		plain, top, err := used(r, 3, idleFor)
 		stop()
 		if err != nil {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -26,6 +26,8 @@
 	call  relay.Call
 	print string
 	id    string
+	// unsure is what is said of a call that may be repeated before it was sent from here.
+	unsure string
 }
 
 func (e *Entry) service(c *fiber.Ctx) error {
@@ -74,7 +76,7 @@
 	}
 	id, _ := requestID(cl.contract.Customer, "")
 	return serviceCall{
-		cl: cl, cell: e.cell(name), call: call, id: id,
+		cl: cl, cell: e.cell(name), call: call, id: id, unsure: unsure(c),
 		print: fingerprint(call.Method, name, path, query, string(call.Body)),
 	}
 }
@@ -102,7 +104,7 @@
 func (e *Entry) repeat(ctx context.Context, er serviceCall) (relay.Reply, *problem) {
 	e.budget.Earn()
 	var avoid []string
-	ran := chat.RanNo
+	ran := er.unsure
 	for attempt := 0; ; attempt++ {
 		v, held, p := e.grant(ctx, er, attempt, avoid)
 		if p != nil {
--- a/internal/live/cut_test.go
+++ b/internal/live/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -16,6 +17,7 @@
 	names map[netip.Addr]string
 	alone map[string]bool
 	open  map[net.Conn]struct{}
+	delay func() time.Duration
 }
 
 func newWeb(t *testing.T) *web {
@@ -83,6 +85,32 @@
 	w.copy(d, c, from, to)
 }
 
+// bad gives the links between instances a delay that varies, and stalls for one in a hundred of what is sent, as a packet
+// lost and sent again does.
+func (w *web) bad(seed uint64) {
+	const least, spread, stall, lost = 3 * time.Millisecond, 5 * time.Millisecond, 200 * time.Millisecond, 100
+	rng := rand.New(rand.NewPCG(seed, 0))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.delay = func() time.Duration {
+		if rng.IntN(lost) == 0 {
+			return stall
+		}
+		return least + time.Duration(rng.Int64N(int64(spread)))
+	}
+}
+
+// late waits for as long as what is sent now takes on its way.
+func (w *web) late() {
+	w.mu.Lock()
+	var d time.Duration
+	if w.delay != nil {
+		d = w.delay()
+	}
+	w.mu.Unlock()
+	time.Sleep(d)
+}
+
 // copy passes bytes on; while a cut lasts it holds them back, and what was held back is lost with its connection.
 func (w *web) copy(dst, src net.Conn, from, to string) {
 	defer func() { _ = dst.Close() }()
@@ -97,6 +125,7 @@
 		if held || err != nil {
 			return
 		}
+		w.late()
 		if _, err := dst.Write(buf[:n]); err != nil && err != io.EOF {
 			return
 		}
