--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -38,16 +38,16 @@
 	}
 	e.busy.Add(1)
 	defer e.busy.Add(-1)
-	er := e.serviceCall(c, cl, name)
+	sc := e.serviceCall(c, cl, name)
 	ctx, cancel := context.WithTimeout(e.ctx, cl.class.Wait()+e.opt.Limits.Call.Std())
 	defer cancel()
 	conn := c.Context().Conn()
 	var rep relay.Reply
 	if repeatable(c.Method(), cl) {
 		e.wg.Go(func() { watch(ctx, conn, cancel) })
-		rep, p = e.repeat(ctx, er)
+		rep, p = e.repeat(ctx, sc)
 	} else {
-		rep, p = e.callOnce(ctx, er, conn)
+		rep, p = e.callOnce(ctx, sc, conn)
 	}
 	if p != nil {
 		return e.refuse(c, cl, p)
@@ -82,11 +82,11 @@
 }
 
 // grant asks for an endpoint.
-func (e *Entry) grant(ctx context.Context, er serviceCall, attempt int, avoid []string) (sched.Verdict, *broker.Run, *problem) {
-	v, held, err := e.opt.Broker.Ask(ctx, er.cell, sched.Ask{
-		ID: er.id, Entry: e.opt.Self.Boot, Addr: e.opt.Self.Addr, Customer: er.cl.contract.Customer, Class: er.cl.class.Name,
-		Zone: e.opt.Self.Zone, Input: chat.Tokens(string(er.call.Body)), Attempt: attempt, Avoid: avoid,
-		Waited: time.Since(er.cl.arrived),
+func (e *Entry) grant(ctx context.Context, sc serviceCall, attempt int, avoid []string) (sched.Verdict, *broker.Run, *problem) {
+	v, held, err := e.opt.Broker.Ask(ctx, sc.cell, sched.Ask{
+		ID: sc.id, Entry: e.opt.Self.Boot, Addr: e.opt.Self.Addr, Customer: sc.cl.contract.Customer, Class: sc.cl.class.Name,
+		Zone: e.opt.Self.Zone, Input: chat.Tokens(string(sc.call.Body)), Attempt: attempt, Avoid: avoid,
+		Waited: time.Since(sc.cl.arrived),
 	})
 	switch {
 	case err != nil:
@@ -96,25 +96,25 @@
 	case v.Verb != sched.Granted:
 		return v, nil, newProblem(http.StatusServiceUnavailable, codeNotReady, chat.RanNo, "no grant").after(retrySoon)
 	}
-	er.cl.series.Queued(v.Queued)
+	sc.cl.series.Queued(v.Queued)
 	return v, held, nil
 }
 
 // repeat runs a call that may be repeated, on another endpoint after a failure.
-func (e *Entry) repeat(ctx context.Context, er serviceCall) (relay.Reply, *problem) {
+func (e *Entry) repeat(ctx context.Context, sc serviceCall) (relay.Reply, *problem) {
 	e.budget.Earn()
 	var avoid []string
-	ran := er.unsure
+	ran := sc.unsure
 	for attempt := 0; ; attempt++ {
-		v, held, p := e.grant(ctx, er, attempt, avoid)
+		v, held, p := e.grant(ctx, sc, attempt, avoid)
 		if p != nil {
 			p.ran = ran
 			return relay.Reply{}, p
 		}
 		cctx, cancel := context.WithTimeout(ctx, e.opt.Limits.Call.Std())
-		rep, err := e.relay.Repeat(cctx, v.Target.Addr, er.call)
+		rep, err := e.relay.Repeat(cctx, v.Target.Addr, sc.call)
 		cancel()
-		e.opt.Broker.Finish(er.cell, held, sched.Done{Broken: err != nil && ctx.Err() == nil})
+		e.opt.Broker.Finish(sc.cell, held, sched.Done{Broken: err != nil && ctx.Err() == nil})
 		if err == nil {
 			return rep, nil
 		}
@@ -127,14 +127,14 @@
 }
 
 // callOnce runs a call that may not be repeated, under a claim.
-func (e *Entry) callOnce(ctx context.Context, er serviceCall, conn net.Conn) (relay.Reply, *problem) {
-	if er.call.Key == "" || len(er.call.Key) > claim.MaxKey {
+func (e *Entry) callOnce(ctx context.Context, sc serviceCall, conn net.Conn) (relay.Reply, *problem) {
+	if sc.call.Key == "" || len(sc.call.Key) > claim.MaxKey {
 		return relay.Reply{}, newProblem(http.StatusBadRequest, codeNeedKey, chat.RanNo,
 			"a call that may not be repeated needs an %s header of 1 to %d bytes", headerKey, claim.MaxKey)
 	}
 	rep, err := e.once.Run(ctx, once.Call{
-		Call: er.call, Customer: er.cl.contract.Customer, Nonce: uuid.NewString(), Print: er.print,
-		Place: func(ctx context.Context) (once.Grant, error) { return e.place(ctx, er, conn) },
+		Call: sc.call, Customer: sc.cl.contract.Customer, Nonce: uuid.NewString(), Print: sc.print,
+		Place: func(ctx context.Context) (once.Grant, error) { return e.place(ctx, sc, conn) },
 		Gone:  func() bool { return hungUp(conn) },
 	})
 	if err != nil {
@@ -144,13 +144,13 @@
 }
 
 // place waits for an endpoint for as long as the caller does.
-func (e *Entry) place(ctx context.Context, er serviceCall, conn net.Conn) (once.Grant, error) {
+func (e *Entry) place(ctx context.Context, sc serviceCall, conn net.Conn) (once.Grant, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e.wg.Go(func() { watch(ctx, conn, cancel) })
-	v, held, p := e.grant(ctx, er, 0, nil)
+	v, held, p := e.grant(ctx, sc, 0, nil)
 	if p != nil {
 		return once.Grant{}, p
 	}
-	return once.Grant{Target: v.Target, Finish: func(d sched.Done) { e.opt.Broker.Finish(er.cell, held, d) }}, nil
+	return once.Grant{Target: v.Target, Finish: func(d sched.Done) { e.opt.Broker.Finish(sc.cell, held, d) }}, nil
 }
