once: let a waiting repeat make the call that was given up unsent

Cause: a repeat that waited for an attempt of its key was refused ("send the call again") when that attempt was voided, as when its caller left; it was free to run the call itself. Change: it opens the claim again, once. An attempt whose caller left before the send holds the claim, so it is "no", not "unknown".

--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -120,7 +120,7 @@
 		case claim.Done:
 			return replay(rec.Answer)
 		case claim.Void:
-			return relay.Reply{}, &Error{Why: Voided}
+			return r.takeOver(ctx, c)
 		case claim.Doubt:
 			return r.doubt(ctx, c, rec)
 		}
@@ -140,6 +140,15 @@
 	}
 }
 
+// takeOver makes a call, once, whose earlier attempt was given up before it was sent while this one waited for it.
+func (r *Runner) takeOver(ctx context.Context, c Call) (relay.Reply, error) {
+	if c.joined {
+		return relay.Reply{}, &Error{Why: Voided}
+	}
+	c.joined = true
+	return r.Run(ctx, c)
+}
+
 // doubt tries to resolve a claim whose holder is lost by asking the service.
 func (r *Runner) doubt(ctx context.Context, c Call, rec *claim.Record) (relay.Reply, error) {
 	g, err := c.Place(ctx)
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -60,6 +60,7 @@
 	met   chan struct{}
 	thaw  chan struct{}
 	dead  bool
+	left  bool
 	mu    sync.Mutex
 }
 
@@ -209,7 +210,7 @@
 	defer r.Wait()
 	rep, err := r.Run(ctx, Call{
 		Call: relay.Call{Key: key}, Customer: "acme", Nonce: fmt.Sprint(h.name, time.Now().UnixNano()), Print: "p",
-		Gone: func() bool { return false },
+		Gone: func() bool { return h.left },
 		Place: func(ctx context.Context) (Grant, error) {
 			err := h.reach(ctx, beforeSend)
 			return Grant{Target: sched.Target{Lookup: h.g.lookup}, Finish: func(sched.Done) {}}, err
@@ -280,6 +281,24 @@
 	return all, g.runs["visit"]
 }
 
+func TestJoinedCallTakesOver(t *testing.T) {
+	Convey("A call that waits for another attempt of its key runs when that one is given up before it was sent", t, func() {
+		g := &ground{state: ctrl.NewState(), boots: map[string]string{}, runs: map[string]int{}}
+		first, second := g.host("i1", beforeSend, entryFrozen), g.host("i2", "", "")
+		first.left = true
+		left := make(chan told, 1)
+		go func() { left <- first.call(context.Background(), "visit") }()
+		<-first.met
+		joined := make(chan told, 1)
+		go func() { joined <- second.call(context.Background(), "visit") }()
+		time.Sleep(50 * time.Millisecond)
+		close(first.thaw)
+		So((<-left).ran, ShouldEqual, chat.RanNo)
+		So((<-joined).body, ShouldEqual, "run 1 by i2")
+		So(g.runs["visit"], ShouldEqual, 1)
+	})
+}
+
 func TestFailuresAtEachStep(t *testing.T) {
 	for _, event := range []string{entryKilled, entryFrozen, leaderKilled} {
 		for _, step := range allSteps {
--- a/internal/once/types.go
+++ b/internal/once/types.go
@@ -59,6 +59,7 @@
 		Print    string
 		Place    Place
 		Gone     func() bool
+		joined   bool
 	}
 
 	// Times bounds the waits: Call for the endpoint's answer, Claim for one change of the claim, Settle for the end of a
@@ -112,7 +113,7 @@
 // Ran tells whether the call ran, as pkg/chat names it. Without the claim nothing is known of other attempts.
 func (e *Error) Ran() string {
 	switch e.Why {
-	case Voided, Outdated, Unsent, Reused:
+	case Voided, Outdated, Left, Unsent, Reused:
 		return chat.RanNo
 	case Large:
 		return chat.RanYes
