entry, group, spread, bench: one piece of code where two or three stood

Reading the whole change again: three waits for the replica's goroutine are one await; the empty view, the refusals of a crashing request and of a caller that has gone, bench's build, its engines and its streamed request each stand once; the print is looked up once a step. No behaviour is meant to change.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -49,14 +49,11 @@
 
 // Execute measures each trace under each scenario by each system, one run each.
 func (c *tableCmd) Execute([]string) error {
-	bin, err := os.MkdirTemp("", "bench-bin")
+	bin, clean, err := build()
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(bin) }()
-	if err := rig.Build(bin, "."); err != nil {
-		return err
-	}
+	defer clean()
 	if len(c.Scenarios) == 0 {
 		c.Scenarios = bench.Scenarios
 	}
@@ -94,20 +91,30 @@
 	return bench.Row{Run: run, Report: rep}, nil
 }
 
+// build makes the programs in a new folder, which clean removes.
+func build() (bin string, clean func(), err error) {
+	if bin, err = os.MkdirTemp("", "bench-bin"); err != nil {
+		return "", nil, err
+	}
+	clean = func() { _ = os.RemoveAll(bin) }
+	if err = rig.Build(bin, "."); err != nil {
+		clean()
+		return "", nil, err
+	}
+	return bin, clean, nil
+}
+
 type slopesCmd struct {
 	Only []string `long:"only" description:"sched, log, claims, spread, contracts, force, gap, overhead or streams; may be repeated; all if not given"`
 }
 
 // Execute measures the slopes and prints them.
 func (c *slopesCmd) Execute([]string) error {
-	bin, err := os.MkdirTemp("", "bench-bin")
+	bin, clean, err := build()
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(bin) }()
-	if err := rig.Build(bin, "."); err != nil {
-		return err
-	}
+	defer clean()
 	parts := []struct {
 		name string
 		run  func(bin string) error
--- a/internal/bench/memslope.go
+++ b/internal/bench/memslope.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -13,16 +12,13 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/greengagewheel/greengagewheel/internal/claim"
-	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
-	"github.com/greengagewheel/greengagewheel/internal/rig"
 )
 
 const (
 	claimsMeasured = 100_000
 	claimAnswer    = 200
-	streamEngines  = 4
 	streamTokens   = 1000
 	streamSettle   = 4 * time.Second
 )
@@ -61,16 +57,7 @@
 		return nil, err
 	}
 	defer stop()
-	for i := range streamEngines {
-		if _, err := r.Standin("engine", fmt.Sprint("e", i), zone(i), "m", "--step", "100ms", "--per-run", "0s", "--slots", "1024"); err != nil {
-			return nil, err
-		}
-	}
-	k := contr.Contract{Customer: "load", Keys: []string{contr.Hash(overheadKey)}, Classes: []contr.Class{{Name: "c", Tier: 1}}}
-	if _, err := r.Enter(k); err != nil {
-		return nil, err
-	}
-	if err := rig.Until("engines are live", func() bool { return r.Instances[0].Live("m") == streamEngines }); err != nil {
+	if _, err := furnish(r, "--step", "100ms", "--slots", "1024"); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -96,12 +83,10 @@
 
 // hold opens a long stream and reads it until the context ends.
 func hold(ctx context.Context, from netip.AddrPort) error {
-	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"[[out=%d]]"}]}`, streamTokens, streamTokens)
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/chat/completions", from), bytes.NewReader([]byte(body)))
+	q, err := streamOf(ctx, from, streamTokens)
 	if err != nil {
 		return err
 	}
-	q.Header.Set("Authorization", "Bearer "+overheadKey)
 	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(q)
 	if err != nil {
 		return fault.At("open stream", from.String(), err)
--- a/internal/bench/overhead.go
+++ b/internal/bench/overhead.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -23,6 +22,7 @@
 	overheadKey      = "key-for-overhead"
 	loadFor          = 6 * time.Second
 	loadWriters      = 64
+	loadEngines      = 4
 )
 
 // Overhead is what the router adds to the first token, and what it spends for requests of several lengths.
@@ -48,19 +48,8 @@
 		return o, err
 	}
 	defer stop()
-	var eng []rig.Standin
-	for i := range 4 {
-		e, err := r.Standin("engine", fmt.Sprint("e", i), zone(i), "m", "--step", "1ms", "--per-run", "0s", "--slots", "64")
-		if err != nil {
-			return o, err
-		}
-		eng = append(eng, e)
-	}
-	k := contr.Contract{Customer: "load", Keys: []string{contr.Hash(overheadKey)}, Classes: []contr.Class{{Name: "c", Tier: 1}}}
-	if _, err := r.Enter(k); err != nil {
-		return o, err
-	}
-	if err := rig.Until("engines are live", func() bool { return r.Instances[0].Live("m") == 4 }); err != nil {
+	eng, err := furnish(r, "--step", "1ms", "--slots", "64")
+	if err != nil {
 		return o, err
 	}
 	if o.Direct, err = firstToken(eng[0].Addr); err != nil {
@@ -82,6 +71,23 @@
 	return o, nil
 }
 
+// furnish starts engines of model m and enters a contract with the key overheadKey.
+func furnish(r *rig.Rig, flags ...string) ([]rig.Standin, error) {
+	var eng []rig.Standin
+	for i := range loadEngines {
+		e, err := r.Standin("engine", fmt.Sprint("e", i), zone(i), "m", append([]string{"--per-run", "0s"}, flags...)...)
+		if err != nil {
+			return nil, err
+		}
+		eng = append(eng, e)
+	}
+	k := contr.Contract{Customer: "load", Keys: []string{contr.Hash(overheadKey)}, Classes: []contr.Class{{Name: "c", Tier: 1}}}
+	if _, err := r.Enter(k); err != nil {
+		return nil, err
+	}
+	return eng, rig.Until("engines are live", func() bool { return r.Instances[0].Live("m") == loadEngines })
+}
+
 // drive keeps the router busy and divides its processor time by the requests.
 func drive(r *rig.Rig, tokens int) (Load, error) {
 	before, err := total(r)
@@ -146,14 +152,23 @@
 	return spanQuantile(all, 0.5), nil
 }
 
+// streamOf returns a request for a streamed answer of so many tokens.
+func streamOf(ctx context.Context, to netip.AddrPort, tokens int) (*http.Request, error) {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"[[out=%d]]"}]}`, tokens, tokens)
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/chat/completions", to), strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	q.Header.Set("Authorization", "Bearer "+overheadKey)
+	return q, nil
+}
+
 // once sends one streamed request and returns the time to its first event.
 func once(to netip.AddrPort, tokens int) (time.Duration, error) {
-	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"[[out=%d]]"}]}`, tokens, tokens)
-	q, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/v1/chat/completions", to), bytes.NewReader([]byte(body)))
+	q, err := streamOf(context.Background(), to, tokens)
 	if err != nil {
 		return 0, err
 	}
-	q.Header.Set("Authorization", "Bearer "+overheadKey)
 	start := time.Now()
 	resp, err := loadClient.Do(q)
 	if err != nil {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// moved notes a holder, and tells a new one at once what runs here and which endpoints were announcement here.
+// moved notes a holder, and tells a new one at once what runs here and which endpoints were announced here.
 func (b *Broker) moved(o *cellClient, addr netip.AddrPort, epoch uint64) {
 	o.mu.Lock()
 	fresh := o.epoch != epoch
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -250,9 +250,8 @@
 	c.mu.Unlock()
 	for customer, amount := range left {
 		cmd := ctrl.Command{Slice: &ctrl.Slice{
-			ID: c.holderID() + "/back", Customer: customer, Period: period(time.Now()), Holder: c.holderID(), Return: amount,
+			ID: c.holderID() + "/back/" + customer, Customer: customer, Period: period(time.Now()), Holder: c.holderID(), Return: amount,
 		}}
-		cmd.Slice.ID += "/" + customer
 		if _, err := c.prop.Propose(ctx, cmd); err != nil {
 			c.log.Warn("slice of ceiling not returned", zap.String("customer", customer), zap.Error(err))
 		}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,7 +33,7 @@
 	if ctx.Err() != nil {
 		_ = e.relay.Cancel(e.ctx, v.Target.Addr, j.stream.ID)
 		e.opt.Broker.Finish(j.cell, held, d)
-		return true, newProblem(http.StatusServiceUnavailable, codeGone, j.ran(), "the caller has gone")
+		return true, callerGone(j.ran())
 	}
 	var refusal *relay.Refusal
 	if errors.As(err, &refusal) {
@@ -71,9 +70,7 @@
 	case blind:
 		return true, failed(err, j.ran())
 	case j.crashes >= 2:
-		p := newProblem(http.StatusUnprocessableEntity, codeQuarantined, j.ran(),
-			"this request crashed the endpoints that ran it and is not run again")
-		return true, p
+		return true, crashing(j.ran())
 	case j.attempt >= retry.MaxAttempts || !e.budget.Spend():
 		return true, failed(err, j.ran())
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -42,7 +42,7 @@
 		return true, p
 	}
 	if ctx.Err() != nil {
-		return true, newProblem(http.StatusServiceUnavailable, codeGone, chat.RanUnknown, "the caller has gone")
+		return true, callerGone(chat.RanUnknown)
 	}
 	j.steal = true
 	j.sends++
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/broker"
-	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/relay"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
@@ -104,9 +103,8 @@
 			return r, sameRequest(r, print)
 		}
 	}
-	if p := quarantined(e.opt.View(), print); p != nil {
-		p.ran = unsure(c)
-		return nil, p
+	if e.opt.View().Prints[print].Quarantined {
+		return nil, crashing(unsure(c))
 	}
 	ctx, stop := context.WithCancel(e.ctx)
 	r, fresh := e.runs.begin(id, print, stop)
@@ -140,15 +138,6 @@
 	return newProblem(http.StatusUnprocessableEntity, codeReused, chat.RanNo, "the request ID was used for another request")
 }
 
-// quarantined refuses a request that crashed endpoints.
-func quarantined(v *ctrl.View, print string) *problem {
-	if !v.Prints[print].Quarantined {
-		return nil
-	}
-	return newProblem(http.StatusUnprocessableEntity, codeQuarantined, chat.RanNo,
-		"this request crashed the endpoints that ran it and is not run again")
-}
-
 // blocks returns the chained hashes of a prompt's whole leading blocks.
 func blocks(text string) []uint64 {
 	var out []uint64
@@ -173,18 +162,17 @@
 
 // step asks for one grant and follows its verdict; done tells that the run has ended, early where there is a problem.
 func (e *Entry) step(ctx context.Context, j *job) (done bool, p *problem) {
-	if p := quarantined(e.opt.View(), j.print); p != nil {
-		p.ran = j.ran()
-		return true, p
+	print, suspect := e.opt.View().Prints[j.print]
+	if print.Quarantined {
+		return true, crashing(j.ran())
 	}
-	_, suspect := e.opt.View().Prints[j.print]
 	j.solo = j.solo || suspect
 	v, held, err := e.opt.Broker.Ask(ctx, j.cell, e.ask(j))
 	switch {
 	case errors.Is(err, broker.ErrNoCell):
 		return true, newProblem(http.StatusNotFound, codeModel, j.ran(), "no model %q", j.model)
 	case err != nil:
-		return true, newProblem(http.StatusServiceUnavailable, codeGone, j.ran(), "the caller has gone")
+		return true, callerGone(j.ran())
 	}
 	j.known = j.known || j.attempt == 0 && !v.Before
 	switch {
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -74,6 +74,17 @@
 	return int((p.retry + time.Second - 1) / time.Second)
 }
 
+// crashing refuses a request that crashed endpoints.
+func crashing(ran string) *problem {
+	return newProblem(http.StatusUnprocessableEntity, codeQuarantined, ran,
+		"this request crashed the endpoints that ran it and is not run again")
+}
+
+// callerGone ends a run that nobody reads any more.
+func callerGone(ran string) *problem {
+	return newProblem(http.StatusServiceUnavailable, codeGone, ran, "the caller has gone")
+}
+
 // refused turns a scheduler's refusal into a problem; ran tells whether an earlier attempt of the request ran.
 func refused(v sched.Verdict, ran string) *problem {
 	var p *problem
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -326,6 +326,18 @@
 	}
 }
 
+// await waits for what the replica's goroutine hands out.
+func await[T any](ctx context.Context, g *Group, from <-chan T) (v T, err error) {
+	select {
+	case v = <-from:
+		return v, nil
+	case <-ctx.Done():
+		return v, ctx.Err()
+	case <-g.done:
+		return v, ErrStopped
+	}
+}
+
 // Propose commits a command and returns what the state machine answered.
 // After an error other than repl.ErrNotLeader and ErrLost the command may yet be committed.
 func (g *Group) Propose(ctx context.Context, data []byte) (any, error) {
@@ -348,14 +360,11 @@
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case r := <-to:
-		return r.value, r.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-g.done:
-		return nil, ErrStopped
+	r, err := await(ctx, g, to)
+	if err != nil {
+		return nil, err
 	}
+	return r.value, r.err
 }
 
 // Confirm proves by a quorum that no newer leader existed at the returned time, and that all committed by then is applied here.
@@ -376,12 +385,9 @@
 	if err != nil {
 		return time.Time{}, err
 	}
-	select {
-	case r := <-to:
-		return r.at, r.err
-	case <-ctx.Done():
-		return time.Time{}, ctx.Err()
-	case <-g.done:
-		return time.Time{}, ErrStopped
+	r, err := await(ctx, g, to)
+	if err != nil {
+		return time.Time{}, err
 	}
+	return r.at, r.err
 }
--- a/internal/group/wire.go
+++ b/internal/group/wire.go
@@ -101,14 +101,11 @@
 	if err != nil {
 		return false, err
 	}
-	select {
-	case a := <-to:
-		return a.voter, a.err
-	case <-ctx.Done():
-		return false, ctx.Err()
-	case <-g.done:
-		return false, ErrStopped
+	a, err := await(ctx, g, to)
+	if err != nil {
+		return false, err
 	}
+	return a.voter, a.err
 }
 
 // post hands messages to one sender for each member; a full outbox drops them, which the protocol bears.
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -70,10 +70,16 @@
 func New(opt Options) *Spread {
 	s := &Spread{opt: opt, items: map[string]ctrl.Item{}, children: memb.NewChildren(opt.Bound), news: make(chan struct{}),
 		poke: make(chan struct{}, 1)}
-	s.view.Store(&ctrl.View{Contracts: contr.NewSet(0, nil), Instances: map[string]ctrl.Instance{}, Prints: map[string]ctrl.Print{}, Cells: map[string]endpt.Kind{}})
+	s.view.Store(emptyView())
 	return s
 }
 
+func emptyView() *ctrl.View {
+	return &ctrl.View{
+		Contracts: contr.NewSet(0, nil), Instances: map[string]ctrl.Instance{}, Prints: map[string]ctrl.Print{}, Cells: map[string]endpt.Kind{},
+	}
+}
+
 // View returns the present configuration; it is never changed.
 func (s *Spread) View() *ctrl.View {
 	return s.view.Load()
@@ -249,20 +255,17 @@
 
 // build makes the view of a version from the old one and the changed items, or from all items where full is set.
 func build(version uint64, all map[string]ctrl.Item, old *ctrl.View, changed []ctrl.Item, full bool) *ctrl.View {
-	v := &ctrl.View{Version: version}
-	book := old.Contracts
 	if full {
-		book = contr.NewSet(0, nil)
-		v.Instances, v.Prints, v.Cells = map[string]ctrl.Instance{}, map[string]ctrl.Print{}, map[string]endpt.Kind{}
-		changed = slices.Collect(maps.Values(all))
-	} else {
-		v.Instances, v.Prints, v.Cells = maps.Clone(old.Instances), maps.Clone(old.Prints), maps.Clone(old.Cells)
+		old, changed = emptyView(), slices.Collect(maps.Values(all))
+	}
+	v := &ctrl.View{
+		Version: version, Instances: maps.Clone(old.Instances), Prints: maps.Clone(old.Prints), Cells: maps.Clone(old.Cells),
 	}
 	contracts := map[string]*contr.Contract{}
 	for _, it := range changed {
 		set(v, contracts, it)
 	}
-	v.Contracts = book.With(version, contracts)
+	v.Contracts = old.Contracts.With(version, contracts)
 	return v
 }
 
