entry: ask the log before a request that crashed an endpoint runs again

Change: a suspect's quarantine is read from the log's leader before its grant is asked; other requests pay nothing.

--- a/internal/ctrl/machine.go
+++ b/internal/ctrl/machine.go
@@ -130,6 +130,16 @@
 	return m.st.Claims[claim.ID(customer, key)]
 }
 
+// Print returns what is known of a request's print; the zero value where it crashed nothing.
+func (m *Machine) Print(print string) Print {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if p := m.st.Prints[print]; p != nil {
+		return *p
+	}
+	return Print{}
+}
+
 // Spent returns what of each customer's ceiling is taken.
 func (m *Machine) Spent() map[string]Spending {
 	m.mu.RLock()
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -13,6 +13,7 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/broker"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
+	"github.com/greengagewheel/greengagewheel/internal/quorum"
 	"github.com/greengagewheel/greengagewheel/internal/relay"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
 	"github.com/greengagewheel/greengagewheel/pkg/chat"
@@ -163,7 +164,7 @@
 // step asks for one grant and follows its verdict; done tells that the run has ended, early where there is a problem.
 func (e *Entry) step(ctx context.Context, j *job) (done bool, p *problem) {
 	print, suspect := e.opt.View().Prints[j.print]
-	if print.Quarantined {
+	if print.Quarantined || suspect && e.quarantined(ctx, j.print) {
 		return true, crashing(j.ran())
 	}
 	j.solo = j.solo || suspect
@@ -190,6 +191,14 @@
 	return e.attempt(ctx, j, v, held)
 }
 
+// quarantined asks the log for a request that crashed an endpoint before: the copy here may not have its quarantine yet.
+func (e *Entry) quarantined(ctx context.Context, print string) bool {
+	ctx, cancel := context.WithTimeout(ctx, poisonTimeout)
+	defer cancel()
+	v, err := e.opt.Quorum.Read(ctx, quorum.Query{Print: print})
+	return err == nil && v.Print.Quarantined
+}
+
 // putBack gives up a grant that came while this instance was held up for long: the endpoint may have left since.
 func (e *Entry) putBack(ctx context.Context, j *job, held *broker.Run) {
 	e.opt.Broker.Finish(j.cell, held, sched.Done{Unsent: true})
--- a/internal/quorum/server.go
+++ b/internal/quorum/server.go
@@ -43,6 +43,7 @@
 	Query struct {
 		Customer string `json:"customer,omitempty"`
 		Key      string `json:"key,omitempty"`
+		Print    string `json:"print,omitempty"`
 		Least    bool   `json:"least,omitempty"`
 	}
 
@@ -52,6 +53,7 @@
 		Leader   netip.AddrPort               `json:"leader"`
 		Contract *ctrl.Signed                 `json:"contract,omitempty"`
 		Claim    *claim.Record                `json:"claim,omitempty"`
+		Print    ctrl.Print                   `json:"print"`
 		Spent    map[string]ctrl.Spending     `json:"spent,omitempty"`
 		Desired  map[string]ctrl.DesiredState `json:"desired,omitempty"`
 		Counts   map[string]int               `json:"counts,omitempty"`
@@ -149,6 +151,8 @@
 	v.Least, v.Members = s.least(time.Now())
 	switch {
 	case q.Least:
+	case q.Print != "":
+		v.Print = s.machine.Print(q.Print)
 	case q.Key != "":
 		v.Claim = s.machine.Claim(q.Customer, q.Key)
 	case q.Customer != "":
