repl, group, store: found from seeds, keep a number of voters, one record a write

Cause: on the users' machines replicas are found from three seeds, lost ones are replaced by others at new addresses, and a loss of power may tear a write so that its end is there and its beginning is not, which the store took for damage and emptied the folder. Change: replicas greet seeds and members, and ask for a vote whenever they have none; a learner takes the vote of a voter that is silent for 5 s once there are enough voters; what is written at once is one record; the log is compacted by bytes too; ages are told by a clock that goes on while the machine is suspended.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -16,6 +16,7 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/broker"
 	"github.com/greengagewheel/greengagewheel/internal/cell"
+	"github.com/greengagewheel/greengagewheel/internal/clock"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/memb"
@@ -215,7 +216,7 @@
 
 func (a *Admin) instances(c *fiber.Ctx) error {
 	v := a.opt.View()
-	return c.JSON(fiber.Map{"version": v.Version, "age": a.opt.Age(time.Now()).String(), "instances": v.Instances})
+	return c.JSON(fiber.Map{"version": v.Version, "age": a.opt.Age(clock.Now()).String(), "instances": v.Instances})
 }
 
 func (a *Admin) cells(c *fiber.Ctx) error {
--- a/internal/bench/logslope.go
+++ b/internal/bench/logslope.go
@@ -69,7 +69,7 @@
 	g, err := group.New(group.Options{
 		Name: members[i].Name, Dir: filepath.Join(q.dir, fmt.Sprint(i)), Self: members[i].Addr, Peers: members,
 		Links: peer.NewLinks(logSecret, netip.Addr{}), Machine: m, Log: zap.NewNop(), Seed: uint64(i),
-	}, time.Now())
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/clock"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
@@ -195,7 +196,7 @@
 	a := Answer{Held: true, Epoch: c.epoch}
 	switch {
 	case o.Ask != nil:
-		if !s.opt.Fresh(time.Now()) {
+		if !s.opt.Fresh(clock.Now()) {
 			return Answer{}, errors.New("configuration not proven current")
 		}
 		a.Verdict = c.Ask(ctx, *o.Ask)
--- a/internal/entry/hangup.go
+++ b/internal/conns/peek.go
@@ -1,19 +1,19 @@
-package entry
+package conns
 
 import (
 	"net"
 	"syscall"
 )
 
-// hungUp reports whether the caller has closed its connection. The HTTP library does not look at a
-// connection while a request is handled, so the socket is peeked at; bytes waiting there count as life.
-func hungUp(c net.Conn) bool {
+// HungUp reports whether the other end has closed a connection, without taking bytes from it; bytes that wait there count
+// as life.
+func HungUp(c net.Conn) bool {
 	n, err := peek(c)
 	return n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
 }
 
-// unread reports whether bytes from the caller wait to be read.
-func unread(c net.Conn) bool {
+// Unread reports whether bytes wait to be read on a connection.
+func Unread(c net.Conn) bool {
 	n, err := peek(c)
 	return err == nil && n > 0
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/broker"
 	"github.com/greengagewheel/greengagewheel/internal/cell"
+	"github.com/greengagewheel/greengagewheel/internal/clock"
 	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
@@ -153,7 +154,7 @@
 }
 
 func (e *Entry) ready(c *fiber.Ctx) error {
-	if err := e.Ready(time.Now()); err != nil {
+	if err := e.Ready(clock.Now()); err != nil {
 		return c.Status(http.StatusServiceUnavailable).SendString(err.Error() + "\n")
 	}
 	return c.SendString("ready\n")
@@ -185,7 +186,7 @@
 func (e *Entry) admit(c *fiber.Ctx, what string, kind endpt.Kind) (*caller, *problem) {
 	now := time.Now()
 	key, _ := strings.CutPrefix(c.Get("Authorization"), "Bearer ")
-	if !e.opt.Fresh(now) {
+	if !e.opt.Fresh(clock.Now()) {
 		return nil, newProblem(http.StatusServiceUnavailable, codeNotReady, unsure(c),
 			"this instance cannot prove that its configuration is current").after(retrySoon)
 	}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -12,6 +12,8 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/broker"
+	"github.com/greengagewheel/greengagewheel/internal/clock"
+	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/quorum"
 	"github.com/greengagewheel/greengagewheel/internal/relay"
@@ -181,7 +183,7 @@
 		return true, refused(v, j.ran())
 	case v.Verb == sched.Elsewhere:
 		return e.elsewhere(ctx, j, v)
-	case j.run.offset() == 0 && !e.opt.Fresh(time.Now()):
+	case j.run.offset() == 0 && !e.opt.Fresh(clock.Now()):
 		e.putBack(ctx, j, held)
 		return false, nil
 	}
@@ -255,7 +257,7 @@
 // watch calls gone once the caller has closed its connection; it ends with the context.
 func watch(ctx context.Context, conn net.Conn, gone func()) {
 	for pace.Pause(ctx, hangCheck) {
-		if hungUp(conn) {
+		if conns.HungUp(conn) {
 			gone()
 			return
 		}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -3,8 +3,9 @@
 import (
 	"io"
 	"net"
-	"syscall"
 	"time"
+
+	"github.com/greengagewheel/greengagewheel/internal/conns"
 )
 
 const (
@@ -13,8 +14,6 @@
 	keepAlive    = 5 * time.Second
 	lingerTime   = time.Second
 	lingerBytes  = 64 << 20
-	// tcpUserTimeout is the option TCP_USER_TIMEOUT of Linux, which package syscall does not name.
-	tcpUserTimeout = 0x12
 )
 
 // conn is a caller's connection.
@@ -44,14 +43,14 @@
 		return c, nil
 	}
 	_ = t.SetKeepAlivePeriod(keepAlive)
-	limitSilence(t, l.silence)
+	conns.LimitSilence(t, l.silence)
 	return conn{t}, nil
 }
 
 // Close closes the connection. A caller that is still sending, as one whose body was refused for its size, is
 // heard out for a while first, so that it reads the answer before its connection is reset.
 func (c conn) Close() error {
-	if !unread(c.TCPConn) {
+	if !conns.Unread(c.TCPConn) {
 		return c.TCPConn.Close()
 	}
 	_ = c.CloseWrite()
@@ -59,13 +58,3 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.TCPConn, lingerBytes))
 	return c.TCPConn.Close()
 }
-
-func limitSilence(t *net.TCPConn, d time.Duration) {
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
-	})
-}
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -13,6 +13,7 @@
 	"github.com/gofiber/fiber/v2"
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/relay"
 	"github.com/greengagewheel/greengagewheel/pkg/chat"
 )
@@ -58,7 +59,7 @@
 	t := time.NewTicker(hangCheck)
 	defer t.Stop()
 	for {
-		if r.overdue(time.Now()) && hungUp(r.conn) {
+		if r.overdue(time.Now()) && conns.HungUp(r.conn) {
 			return nil, false, nil, true
 		}
 		events, ended, p, change := r.run.after(r.seen)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/broker"
 	"github.com/greengagewheel/greengagewheel/internal/claim"
+	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/once"
 	"github.com/greengagewheel/greengagewheel/internal/relay"
 	"github.com/greengagewheel/greengagewheel/internal/retry"
@@ -135,7 +136,7 @@
 	rep, err := e.once.Run(ctx, once.Call{
 		Call: sc.call, Customer: sc.cl.contract.Customer, Nonce: uuid.NewString(), Print: sc.print,
 		Place: func(ctx context.Context) (once.Grant, error) { return e.place(ctx, sc, conn) },
-		Gone:  func() bool { return hungUp(conn) },
+		Gone:  func() bool { return conns.HungUp(conn) },
 	})
 	if err != nil {
 		return relay.Reply{}, unanswered(err)
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/clock"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
 	"github.com/greengagewheel/greengagewheel/internal/repl"
@@ -18,14 +19,21 @@
 )
 
 const (
-	tick        = 20 * time.Millisecond
-	inbox       = 4096
-	outbox      = 256
-	sendTimeout = 2 * time.Second
+	// shortestTick bounds how often the rules are asked for what is due.
+	shortestTick = 5 * time.Millisecond
+	inbox        = 4096
+	outbox       = 256
+	// sendTimeout is how long messages to a replica wait for an answer before a new connection is tried; it is below the
+	// longest time without a leader after which a replica stands for election.
+	sendTimeout = 700 * time.Millisecond
 	// snapEvery is the number of entries after which the log is compacted.
 	snapEvery = 8192
+	// snapBytes is the size of the log file in bytes after which the log is compacted.
+	snapBytes = 8 << 20
 	// snapTail is the number of compacted entries kept for slow replicas.
 	snapTail = 1024
+	// tailBytes bounds the size of the compacted entries that are kept, in bytes.
+	tailBytes = 1 << 20
 )
 
 var (
@@ -45,10 +53,18 @@
 
 	// Options holds what a replica needs.
 	Options struct {
-		Name    string
-		Dir     string
-		Self    netip.AddrPort
-		Peers   []repl.Member
+		Name string
+		Zone string
+		Dir  string
+		Self netip.AddrPort
+		// Peers are the replicas that found the log together, this one among them; none on a replica that may only join.
+		Peers []repl.Member
+		// Seeds returns further addresses at which replicas may be found; it may be nil.
+		Seeds func() []netip.AddrPort
+		// Voters is the number of replicas that shall have a vote; 0 gives each one a vote.
+		Voters int
+		// Now is the clock by which the age of a proof is told.
+		Now     func() time.Time
 		Links   *peer.Links
 		Machine Machine
 		Log     *zap.Logger
@@ -98,7 +114,11 @@
 )
 
 // New opens the data folder and returns a replica that Run starts.
-func New(opt Options, now time.Time) (*Group, error) {
+func New(opt Options) (*Group, error) {
+	if opt.Now == nil {
+		opt.Now = clock.Now
+	}
+	now := opt.Now()
 	st, stored, wiped, err := store.Open(opt.Dir)
 	if err != nil {
 		return nil, fault.At("open data folder", opt.Dir, err)
@@ -130,6 +150,7 @@
 	g.applied, g.snapAt = stored.Snap.Index, stored.Snap.Index
 	rng := rand.New(rand.NewPCG(g.opt.Seed, uint64(now.UnixNano())))
 	g.core = repl.New(g.store.Identity().ID, stored, rng, now)
+	g.core.Want(g.opt.Voters)
 	g.publish()
 	return nil
 }
@@ -142,7 +163,7 @@
 	defer g.wg.Wait()
 	defer cancel()
 	g.wg.Go(func() { g.enroll(ctx) })
-	t := time.NewTicker(tick)
+	t := time.NewTimer(shortestTick)
 	defer t.Stop()
 	for {
 		select {
@@ -153,15 +174,16 @@
 		case m := <-g.msgs:
 			g.step(m)
 		case f := <-g.work:
-			f(time.Now())
+			f(g.opt.Now())
 		case <-t.C:
 		}
 		g.drain()
 		if g.core == nil {
 			continue
 		}
-		g.core.Tick(time.Now())
+		g.core.Tick(g.opt.Now())
 		g.core.Flush()
+		t.Reset(max(shortestTick, g.core.Next().Sub(g.opt.Now())))
 		if err := g.flush(); err != nil {
 			g.opt.Log.Error("replica stops: storage failed", zap.Error(err))
 			g.failAll(err)
@@ -178,7 +200,7 @@
 		case m := <-g.msgs:
 			g.step(m)
 		case f := <-g.work:
-			f(time.Now())
+			f(g.opt.Now())
 		default:
 			return
 		}
@@ -187,7 +209,7 @@
 
 func (g *Group) step(m repl.Msg) {
 	if g.core != nil {
-		g.core.Step(time.Now(), m)
+		g.core.Step(g.opt.Now(), m)
 	}
 }
 
@@ -259,7 +281,7 @@
 
 // compact stores a snapshot once enough entries were applied since the last one.
 func (g *Group) compact() error {
-	if g.applied < g.snapAt+snapEvery {
+	if g.applied < g.snapAt+snapEvery && (g.store.Size() < snapBytes || g.applied == g.snapAt) {
 		return nil
 	}
 	data, err := g.opt.Machine.Snapshot()
@@ -267,7 +289,7 @@
 		return fault.At("take snapshot", "", err)
 	}
 	snap := g.core.SnapshotAt(g.applied, data)
-	rest := g.core.Compact(snap.Index, snapTail)
+	rest := g.core.Compact(snap.Index, snapTail, tailBytes)
 	g.snapAt = snap.Index
 	return g.store.Compact(snap, rest)
 }
--- a/internal/group/wire.go
+++ b/internal/group/wire.go
@@ -4,17 +4,23 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
 	"github.com/greengagewheel/greengagewheel/internal/repl"
 	"github.com/greengagewheel/greengagewheel/internal/store"
 )
 
 const (
-	enrollEvery  = 300 * time.Millisecond
+	enrollEvery = 300 * time.Millisecond
+	// settledEvery is the time between two looks of a replica with a vote at whether it still has it.
+	settledEvery = 2 * time.Second
 	helloTimeout = time.Second
 )
 
@@ -80,7 +86,7 @@
 }
 
 func (g *Group) self() repl.Member {
-	return repl.Member{ID: g.identity().ID, Name: g.opt.Name, Addr: g.opt.Self, Voter: true}
+	return repl.Member{ID: g.identity().ID, Name: g.opt.Name, Zone: g.opt.Zone, Addr: g.opt.Self, Voter: true}
 }
 
 // join takes a new folder one step further towards a vote.
@@ -176,28 +182,29 @@
 	}
 }
 
-// enroll founds or joins a cluster, and asks for a vote until it has one.
+// enroll founds or joins a cluster, and asks for a vote whenever this replica has none.
 func (g *Group) enroll(ctx context.Context) {
-	t := time.NewTicker(enrollEvery)
-	defer t.Stop()
-	for {
-		if g.enrolled(ctx) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
+	for ctx.Err() == nil {
+		wait := enrollEvery
+		if g.settled() {
+			wait = settledEvery
+		} else {
+			g.enrollOnce(ctx)
 		}
+		pace.Pause(ctx, wait)
 	}
 }
 
-// enrolled takes one step and reports whether this folder has a vote.
-func (g *Group) enrolled(ctx context.Context) bool {
+// settled reports whether this replica has a vote and a leader. One without a leader may have lost its vote unheard.
+func (g *Group) settled() bool {
+	st := g.Status()
+	m, ok := st.Conf.Find(g.self().ID)
+	return ok && m.Voter && st.Leader != ""
+}
+
+// enrollOnce takes one step towards a vote.
+func (g *Group) enrollOnce(ctx context.Context) {
 	self := g.self()
-	if m, ok := g.Status().Conf.Find(self.ID); ok && m.Voter {
-		return true
-	}
 	replies, all := g.greet(ctx, self)
 	for _, r := range replies {
 		if r.Cluster == "" || g.Cluster() != "" && r.Cluster != g.Cluster() {
@@ -206,40 +213,66 @@
 		if g.Cluster() == "" {
 			g.enter(ctx, r.Cluster, r.Founding)
 		}
-		if _, founder := r.Founding.Find(self.ID); !founder && r.Leader.IsValid() {
+		if r.Leader.IsValid() && r.Leader != self.Addr {
 			g.askJoin(ctx, r.Leader, self)
+			return
 		}
-		return false
 	}
-	if all && g.Cluster() == "" && g.first(replies) {
+	if all && len(g.opt.Peers) > 0 && g.Cluster() == "" && g.first(replies) {
 		conf := repl.Conf{Members: []repl.Member{self}}
 		for _, r := range replies {
 			conf.Members = append(conf.Members, r.Self)
 		}
 		g.enter(ctx, store.NewID(), conf)
 	}
-	return false
 }
 
-// greet asks the other replicas of the settings who they are; all tells that each one answered.
+// greet asks the other replicas that are known who they are; all tells that just the founding ones answered, each of them.
 func (g *Group) greet(ctx context.Context, self repl.Member) (replies []Reply, all bool) {
-	all = true
+	addrs := g.others()
+	var mu sync.Mutex
+	var wg conc.WaitGroup
+	for _, addr := range addrs {
+		wg.Go(func() {
+			var r Reply
+			if err := g.opt.Links.Call(ctx, addr, peer.Step, helloTimeout, Packet{Hello: &self}, &r); err != nil {
+				g.opt.Log.Debug("greeting not answered", zap.Error(err))
+				return
+			}
+			mu.Lock()
+			replies = append(replies, r)
+			mu.Unlock()
+			g.mu.Lock()
+			g.met[r.Self.ID] = r.Self
+			g.mu.Unlock()
+		})
+	}
+	wg.Wait()
+	return replies, len(replies) == len(addrs)
+}
+
+// others returns the addresses of the other replicas: those of the settings and, once there are any, the log's members.
+func (g *Group) others() []netip.AddrPort {
+	var out []netip.AddrPort
+	add := func(a netip.AddrPort) {
+		if a.IsValid() && a != g.opt.Self && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
 	for _, p := range g.opt.Peers {
-		if p.Name == g.opt.Name {
-			continue
+		if p.Name == "" || p.Name != g.opt.Name {
+			add(p.Addr)
 		}
-		var r Reply
-		err := g.opt.Links.Call(ctx, p.Addr, peer.Step, helloTimeout, Packet{Hello: &self}, &r)
-		if err != nil || r.Self.Name != p.Name {
-			all = false
-			continue
+	}
+	if g.opt.Seeds != nil {
+		for _, a := range g.opt.Seeds() {
+			add(a)
 		}
-		replies = append(replies, r)
-		g.mu.Lock()
-		g.met[r.Self.ID] = r.Self
-		g.mu.Unlock()
 	}
-	return replies, all
+	for _, m := range g.Status().Conf.Members {
+		add(m.Addr)
+	}
+	return out
 }
 
 // first reports whether this replica's name comes first, so that it founds the cluster.
--- a/internal/memb/proof.go
+++ b/internal/memb/proof.go
@@ -1,6 +1,7 @@
 package memb
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
@@ -26,12 +27,14 @@
 
 	// News answers a pull. The configuration is current as of Ahead after the pull arrived (mostly negative).
 	News struct {
-		Cluster string        `json:"cluster"`
-		Version uint64        `json:"version"`
-		Full    bool          `json:"full,omitempty"`
-		Items   []ctrl.Item   `json:"items,omitempty"`
-		Proven  bool          `json:"proven"`
-		Ahead   time.Duration `json:"ahead"`
+		Cluster  string         `json:"cluster"`
+		Version  uint64         `json:"version"`
+		Full     bool           `json:"full,omitempty"`
+		Items    []ctrl.Item    `json:"items,omitempty"`
+		Proven   bool           `json:"proven"`
+		Ahead    time.Duration  `json:"ahead"`
+		Leader   netip.AddrPort `json:"leader"`
+		Replicas []Replica      `json:"replicas,omitempty"`
 	}
 
 	// Proof is the newest moment, on the own clock, as of which no newer version than the own was accepted.
--- a/internal/memb/tree.go
+++ b/internal/memb/tree.go
@@ -39,9 +39,9 @@
 
 // Replica is an instance that holds the log.
 type Replica struct {
-	Name string
-	Zone string
-	Addr netip.AddrPort
+	Name string         `json:"name"`
+	Zone string         `json:"zone"`
+	Addr netip.AddrPort `json:"addr"`
 }
 
 // zoneOrder returns the instances of a zone that hold no log, in an order that all agree on.
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/claim"
+	"github.com/greengagewheel/greengagewheel/internal/clock"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/quorum"
@@ -64,7 +65,7 @@
 // hinders tells why a call that has an endpoint is not sent, or "".
 func (r *Runner) hinders(c Call) Why {
 	switch {
-	case !r.opt.Current(time.Now()):
+	case !r.opt.Current(clock.Now()):
 		return Outdated
 	case c.Gone():
 		return Left
--- a/internal/repl/core.go
+++ b/internal/repl/core.go
@@ -45,6 +45,7 @@
 		reads    []pendingRead
 		out      Output
 		saved    Hard
+		wanted   int
 	}
 
 	// Status is a view of a replica for operators.
@@ -181,6 +182,14 @@
 	})
 }
 
+// Next returns the moment at which Tick is due.
+func (c *Core) Next() time.Time {
+	if c.role == Leader {
+		return c.beat
+	}
+	return c.deadline
+}
+
 // Step takes in a message.
 func (c *Core) Step(now time.Time, m Msg) {
 	c.now = now
@@ -267,10 +276,17 @@
 	return Snapshot{Index: index, Term: term, Conf: c.confUpTo(index), Data: data}
 }
 
-// Compact drops the entries up to a stored snapshot's index, but for a tail kept for slow members,
-// and returns the entries that are left.
-func (c *Core) Compact(index, tail uint64) []Entry {
-	keep := index - min(index, tail)
+// Compact drops the entries up to a stored snapshot's index, but for a tail of at most so many entries and bytes that is
+// kept for slow members, and returns the entries that are left.
+func (c *Core) Compact(index, tail uint64, bytes int) []Entry {
+	keep := index
+	for keep > c.snap.Index && index-keep < tail {
+		bytes -= len(c.entries[keep-c.snap.Index-1].Data)
+		if bytes < 0 {
+			break
+		}
+		keep--
+	}
 	if keep <= c.snap.Index {
 		return c.entries
 	}
--- a/internal/repl/members.go
+++ b/internal/repl/members.go
@@ -2,16 +2,25 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
+const (
+	// SilentVoter is the silence after which a voter may lose its vote to a learner; above the time that a restart takes.
+	SilentVoter = 5 * time.Second
+	// silentLearner is the silence after which a learner may be forgotten for another.
+	silentLearner = 30 * time.Second
+)
+
 var errTooMany = errors.New("too many members")
 
 // Join brings a replica with a new folder in, one safe step a call, and reports whether it is a voter.
 //
 // The steps are: add it as a learner; once it holds all that is committed, remove
-// the voter of the same name, whose folder is gone; then make the learner a voter.
+// the voter of the same name, whose folder is gone, or one that has long been silent
+// while there are as many voters as wanted; then make the learner a voter.
 // Each step is one committed change, and none begins before the last is committed.
 func (c *Core) Join(m Member) (voter bool, err error) {
 	if c.role != Leader {
@@ -31,6 +40,12 @@
 	if old, ok := c.voterNamed(have.Name); ok {
 		return false, c.change(c.conf.without(old.ID))
 	}
+	if c.wanted > 0 && c.conf.Voters() >= c.wanted {
+		if old, ok := c.silentVoter(); ok {
+			return false, c.change(c.conf.without(old.ID))
+		}
+		return false, nil
+	}
 	next := c.conf.without(m.ID)
 	have.Voter = true
 	next.Members = append(next.Members, have)
@@ -42,7 +57,7 @@
 	m.Voter = false
 	next := Conf{}
 	for _, o := range c.conf.Members {
-		if o.Voter || o.Name != m.Name {
+		if o.Voter || o.Name != m.Name && c.silence(o) < silentLearner {
 			next.Members = append(next.Members, o)
 		}
 	}
@@ -53,6 +68,34 @@
 	return c.change(next)
 }
 
+// Want sets the number of voters that Join keeps to; 0 lets each learner have a vote.
+func (c *Core) Want(voters int) {
+	c.wanted = voters
+}
+
+// silence returns how long a member has not answered this leader.
+func (c *Core) silence(m Member) time.Duration {
+	if m.ID == c.id {
+		return 0
+	}
+	return c.now.Sub(c.prog[m.ID].heard)
+}
+
+// silentVoter returns a voter that has been silent for so long that another may have its vote, if a majority of the
+// others answers.
+func (c *Core) silentVoter() (Member, bool) {
+	for _, m := range c.conf.Members {
+		if !m.Voter || c.silence(m) < SilentVoter {
+			continue
+		}
+		rest := c.conf.without(m.ID)
+		if rest.majority(func(o Member) bool { return c.silence(o) < ElectionLongest }) {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 func (c *Core) voterNamed(name string) (Member, bool) {
 	for _, m := range c.conf.Members {
 		if m.Voter && m.Name == name {
--- a/internal/repl/types.go
+++ b/internal/repl/types.go
@@ -67,6 +67,7 @@
 	Member struct {
 		ID    string         `json:"id"`
 		Name  string         `json:"name"`
+		Zone  string         `json:"zone,omitempty"`
 		Addr  netip.AddrPort `json:"addr"`
 		Voter bool           `json:"voter"`
 	}
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -20,10 +20,11 @@
 // ErrDamaged tells that records before the tail of the log cannot be read.
 var ErrDamaged = errors.New("log is damaged before its tail")
 
-// record is one unit of the log file: a vote or an entry.
+// record is one unit of the log file: all that was written and synced at once. A loss of power can tear only the last one,
+// however its parts reach the disk.
 type record struct {
-	Hard  *repl.Hard  `json:"h,omitempty"`
-	Entry *repl.Entry `json:"e,omitempty"`
+	Hard    *repl.Hard   `json:"h,omitempty"`
+	Entries []repl.Entry `json:"e,omitempty"`
 }
 
 func lengthCheck(n uint32) uint32 {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -110,19 +110,21 @@
 	return s.syncDir()
 }
 
-// replay puts one record in its place; an entry cuts off all that stood at or after its index.
+// replay puts the parts of one record in their place; an entry cuts off all that stood at or after its index.
 func replay(st *repl.Stored, r record) error {
 	if r.Hard != nil {
 		st.Hard = *r.Hard
 	}
-	if r.Entry == nil || r.Entry.Index <= st.Snap.Index {
-		return nil
-	}
-	at := r.Entry.Index - st.Snap.Index - 1
-	if at > uint64(len(st.Entries)) {
-		return ErrDamaged
+	for _, e := range r.Entries {
+		if e.Index <= st.Snap.Index {
+			continue
+		}
+		at := e.Index - st.Snap.Index - 1
+		if at > uint64(len(st.Entries)) {
+			return ErrDamaged
+		}
+		st.Entries = append(st.Entries[:at], e)
 	}
-	st.Entries = append(st.Entries[:at], *r.Entry)
 	return nil
 }
 
@@ -175,17 +177,9 @@
 	if out.Hard == nil && len(out.Entries) == 0 {
 		return nil
 	}
-	var err error
-	buf := s.buf[:0]
-	if out.Hard != nil {
-		if buf, err = appendRecord(buf, record{Hard: out.Hard}); err != nil {
-			return err
-		}
-	}
-	for i := range out.Entries {
-		if buf, err = appendRecord(buf, record{Entry: &out.Entries[i]}); err != nil {
-			return err
-		}
+	buf, err := appendRecord(s.buf[:0], record{Hard: out.Hard, Entries: out.Entries})
+	if err != nil {
+		return err
 	}
 	s.buf = buf
 	if _, err = s.log.WriteAt(buf, s.size); err != nil {
@@ -203,15 +197,10 @@
 	if err := s.writeSealed(snapFile, snap); err != nil {
 		return err
 	}
-	buf, err := appendRecord(nil, record{Hard: &s.hard})
+	buf, err := appendRecord(nil, record{Hard: &s.hard, Entries: entries})
 	if err != nil {
 		return err
 	}
-	for i := range entries {
-		if buf, err = appendRecord(buf, record{Entry: &entries[i]}); err != nil {
-			return err
-		}
-	}
 	if err := s.replaceFile(logFile, buf); err != nil {
 		return err
 	}
