table, roster, ctrl: whole routing tables and endpoints by announcement

The log carries routing tables under their operator's version, kept by parts so that only what changed is spread, and endpoints with the start that they tell. Leaving is final for a start; a later start wins an ID and an address.

--- a/internal/ctrl/command.go
+++ b/internal/ctrl/command.go
@@ -7,7 +7,9 @@
 	"github.com/greengagewheel/greengagewheel/internal/claim"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/order"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
 	"github.com/greengagewheel/greengagewheel/pkg/endpt"
+	"github.com/greengagewheel/greengagewheel/pkg/table"
 )
 
 // Codes of a Result.
@@ -37,6 +39,17 @@
 		Slice      *Slice      `json:"slice,omitempty"`
 		Poison     *Poison     `json:"poison,omitempty"`
 		Order      *Order      `json:"order,omitempty"`
+		Replace    *Replace    `json:"replace,omitempty"`
+		// Announce and Exit are of endpoints behind routes.
+		Announce *roster.Endpoint `json:"announce,omitempty"`
+		Exit     *roster.Exit     `json:"exit,omitempty"`
+	}
+
+	// Replace puts a whole routing table in force if its version is higher than the present one. Source is the document as
+	// its operator sent it.
+	Replace struct {
+		Table  table.Table `json:"table"`
+		Source []byte      `json:"source"`
 	}
 
 	// Put changes one contract, made from the version that Expect names (0 for a new contract).
@@ -146,6 +159,14 @@
 		}
 	case c.Order != nil && c.Order.Done == 0:
 		return (&order.Order{Kind: c.Order.Kind, Value: c.Order.Value}).Check()
+	case c.Replace != nil:
+		return c.Replace.Table.Check()
+	case c.Announce != nil:
+		return c.Announce.Check()
+	case c.Exit != nil:
+		if c.Exit.ID == "" {
+			return errors.New("command: endpoint ID is missing")
+		}
 	case c.Register == nil && c.Deregister == nil && c.Lease == nil && c.Renew == nil && c.Poison == nil && c.Order == nil:
 		return errors.New("command: holds no part")
 	}
--- a/internal/ctrl/items.go
+++ b/internal/ctrl/items.go
@@ -7,7 +7,9 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/greengagewheel/greengagewheel/internal/contr"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
 	"github.com/greengagewheel/greengagewheel/pkg/endpt"
+	"github.com/greengagewheel/greengagewheel/pkg/table"
 )
 
 // Kinds of configuration item.
@@ -16,6 +18,11 @@
 	KindInstance Kind = "instance"
 	KindPrint    Kind = "print"
 	KindCell     Kind = "cell"
+	KindTable    Kind = "table"
+	KindRoute    Kind = "route"
+	KindService  Kind = "service"
+	KindOrg      Kind = "organisation"
+	KindEndpoint Kind = "endpoint"
 )
 
 // keptGone is the number of removed items that are remembered for instances that lag behind.
@@ -41,6 +48,8 @@
 		Instances map[string]Instance
 		Prints    map[string]Print
 		Cells     map[string]endpt.Kind
+		Table     *table.Index
+		Endpoints map[string]roster.Endpoint
 	}
 )
 
@@ -101,6 +110,12 @@
 			items = append(items, item(KindCell, name, l.Mod, l.Kind))
 		}
 	}
+	items = append(items, s.Routing.since(version)...)
+	for id, e := range s.Roster.Known {
+		if e.Mod > version {
+			items = append(items, item(KindEndpoint, id, e.Mod, e.Endpoint))
+		}
+	}
 	for id, mod := range s.Gone {
 		if mod > version {
 			kind, key, _ := strings.Cut(id, "/")
--- a/internal/ctrl/machine.go
+++ b/internal/ctrl/machine.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/greengagewheel/greengagewheel/internal/claim"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
 )
 
 // LeaseTerm is how long a cell's lease outlives its last renewal, on the leader's clock.
@@ -123,6 +124,31 @@
 	return m.st.Contracts[customer]
 }
 
+// Document returns the routing table in force as its operator sent it, and its version.
+func (m *Machine) Document() (source []byte, version uint64) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.st.Routing.Source, m.st.Routing.Version
+}
+
+// News reports whether an endpoint's announcement would change the state.
+func (m *Machine) News(e roster.Endpoint) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.st.Roster.News(e)
+}
+
+// Endpoints returns the known endpoints behind routes.
+func (m *Machine) Endpoints() []roster.Endpoint {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := make([]roster.Endpoint, 0, len(m.st.Roster.Known))
+	for _, e := range m.st.Roster.Known {
+		out = append(out, e.Endpoint)
+	}
+	return out
+}
+
 // Claim returns the claim of a customer's key, or nil.
 func (m *Machine) Claim(customer, key string) *claim.Record {
 	m.mu.RLock()
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -4,6 +4,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/claim"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/order"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
 	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
@@ -79,6 +80,8 @@
 		Slices    recent                   `json:"slices"`
 		Swept     int64                    `json:"swept"`
 		Floor     uint64                   `json:"floor"`
+		Routing   Routing                  `json:"routing"`
+		Roster    *roster.Roster           `json:"roster"`
 		share     int64
 		keys      map[string]string
 	}
@@ -111,7 +114,7 @@
 		Contracts: map[string]*Signed{}, Instances: map[string]*Registered{}, Gone: map[string]uint64{},
 		Leases: map[string]*Lease{}, Claims: map[string]*claim.Record{}, Spent: map[string]*Spending{},
 		Prints: map[string]*Print{}, Desired: map[string]*DesiredState{}, Changes: newRecent(), Slices: newRecent(),
-		keys: map[string]string{},
+		Routing: newRouting(), Roster: roster.New(), keys: map[string]string{},
 	}
 }
 
@@ -140,6 +143,12 @@
 		return s.poison(*c.Poison)
 	case c.Order != nil:
 		return s.order(*c.Order)
+	case c.Replace != nil:
+		return s.replace(*c.Replace)
+	case c.Announce != nil:
+		return s.announce(*c.Announce)
+	case c.Exit != nil:
+		return s.exit(*c.Exit)
 	}
 	return Result{Code: Invalid, Reason: "empty command"}
 }
@@ -176,6 +185,7 @@
 
 // Restored rebuilds what is derived from the state after it was decoded.
 func (s *State) Restored() {
+	s.Roster.Restored()
 	s.share = 0
 	s.keys = map[string]string{}
 	for _, c := range s.Contracts {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/admin"
 	"github.com/greengagewheel/greengagewheel/internal/broker"
 	"github.com/greengagewheel/greengagewheel/internal/cell"
+	"github.com/greengagewheel/greengagewheel/internal/clock"
 	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
@@ -35,12 +36,6 @@
 )
 
 const (
-	// registerEvery is the time between two entries of an instance into the list of instances.
-	registerEvery   = 20 * time.Second
-	registerRetry   = 300 * time.Millisecond
-	registerTimeout = 3 * time.Second
-	// lostAfter is the silence after which an instance is deregistered.
-	lostAfter = 120 * time.Second
 	// settleStop is how long a stopping instance still takes requests, until the balancer has seen that it is not ready.
 	settleStop   = time.Second
 	closeTimeout = 5 * time.Second
@@ -58,6 +53,7 @@
 		machine *ctrl.Machine
 		group   *group.Group
 		quorum  *quorum.Client
+		members *quorum.Registrar
 		server  *quorum.Server
 		spread  *spread.Spread
 		cells   *cell.Cells
@@ -148,7 +144,7 @@
 	g, err := group.New(group.Options{
 		Name: n.conf.Instance.Name, Dir: n.conf.Instance.Data, Self: n.self.Addr, Peers: members,
 		Links: n.links, Machine: n.machine, Log: n.log, Seed: uint64(now.UnixNano()),
-	}, now)
+	})
 	n.group = g
 	return err
 }
@@ -157,6 +153,12 @@
 type root struct {
 	*group.Group
 	*ctrl.Machine
+	replicas []memb.Replica
+}
+
+// Replicas returns the replicas that the settings list.
+func (r root) Replicas() []memb.Replica {
+	return r.replicas
 }
 
 func (n *Node) assemble() {
@@ -166,12 +168,16 @@
 		addrs = append(addrs, r.Addr)
 		replicas = append(replicas, memb.Replica{Name: r.Name, Zone: r.Zone, Addr: r.Addr})
 	}
-	n.quorum = quorum.NewClient(n.links, addrs)
+	n.quorum = quorum.NewClient(n.links, func() []netip.AddrPort { return addrs })
+	n.members = &quorum.Registrar{Client: n.quorum, Self: n.self, Log: n.log}
+	if n.group != nil {
+		n.members.Lost = n.lost
+	}
 	opt := spread.Options{
 		Self: n.self, Replicas: replicas, Bound: n.conf.Fresh.Bound.Std(), Links: n.links, Log: n.log,
 	}
 	if n.group != nil {
-		opt.Root = root{n.group, n.machine}
+		opt.Root = root{n.group, n.machine, replicas}
 	}
 	n.spread = spread.New(opt)
 	if n.group != nil {
@@ -229,6 +235,14 @@
 	return mux
 }
 
+// lost returns the instances that have not registered for the given time, where this one leads the log.
+func (n *Node) lost(age time.Duration) []ctrl.Instance {
+	if n.group.Status().Role != repl.Leader.String() {
+		return nil
+	}
+	return n.machine.Lost(age)
+}
+
 // desired returns the orders to engines where this instance leads the log.
 func (n *Node) desired() map[string]ctrl.DesiredState {
 	if n.group == nil || n.group.Status().Role != repl.Leader.String() {
@@ -260,7 +274,7 @@
 
 // Ready tells why the instance is not ready, or nil.
 func (n *Node) Ready() error {
-	return n.entry.Ready(time.Now())
+	return n.entry.Ready(clock.Now())
 }
 
 // Run serves until the context ends, then stops gracefully: no request in progress is cut off.
@@ -277,7 +291,7 @@
 	}
 	n.wg.Go(func() { n.spread.Run(n.ctx) })
 	n.wg.Go(func() { n.cells.Run(n.ctx) })
-	n.wg.Go(func() { n.register(n.ctx) })
+	n.wg.Go(func() { n.members.Run(n.ctx) })
 	n.wg.Go(func() { n.gauges(n.ctx) })
 	if n.group != nil {
 		n.wg.Go(func() { n.orders.Run(n.ctx) })
@@ -304,7 +318,7 @@
 func (n *Node) gauges(ctx context.Context) {
 	pace.Every(ctx, time.Second, func() {
 		n.meter.Gauge("config_version", float64(n.spread.View().Version))
-		n.meter.Gauge("config_age_seconds", n.spread.Age(time.Now()).Seconds())
+		n.meter.Gauge("config_age_seconds", n.spread.Age(clock.Now()).Seconds())
 		n.meter.Gauge("requests_in_progress", float64(n.entry.Busy()))
 		n.meter.Gauge("cells_held", float64(len(n.cells.Names())))
 		in, out := n.links.Count().Bytes()
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 )
 
 // stop ends the instance: not ready first, then the schedulers handed over, the requests finished, and the rest.
@@ -22,7 +20,9 @@
 	defer cancel2()
 	_ = n.entry.Close(done)
 	_ = n.admin.Close(done)
-	n.leave(done)
+	if err := n.members.Leave(done); err != nil {
+		n.log.Warn("not deregistered", zap.Error(err))
+	}
 	n.cancel()
 	_ = n.peers.Close()
 	n.wg.Wait()
@@ -43,13 +43,3 @@
 		time.Sleep(drainCheck)
 	}
 }
-
-// leave deregisters the instance.
-func (n *Node) leave(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	cmd := ctrl.Command{Deregister: &ctrl.Deregister{Name: n.self.Name, Boot: n.self.Boot}}
-	if _, err := n.quorum.Propose(ctx, cmd); err != nil {
-		n.log.Warn("not deregistered", zap.Error(err))
-	}
-}
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -27,12 +27,12 @@
 // Client finds the leader and calls it.
 type Client struct {
 	links    *peer.Links
-	replicas []netip.AddrPort
+	replicas func() []netip.AddrPort
 	lead     atomic.Pointer[netip.AddrPort]
 }
 
-// NewClient returns a client that knows the addresses of the replicas.
-func NewClient(links *peer.Links, replicas []netip.AddrPort) *Client {
+// NewClient returns a client; replicas returns the addresses of the replicas that are known at present.
+func NewClient(links *peer.Links, replicas func() []netip.AddrPort) *Client {
 	return &Client{links: links, replicas: replicas}
 }
 
@@ -90,7 +90,11 @@
 	to, known := c.Leader()
 	for {
 		if !known {
-			to = c.replicas[next%len(c.replicas)]
+			all := c.replicas()
+			if len(all) == 0 {
+				return maybe, fault.At("find leader", "", last)
+			}
+			to = all[next%len(all)]
 			next++
 		}
 		lead, hint, err := call(ctx, to)
--- a/internal/quorum/server.go
+++ b/internal/quorum/server.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/greengagewheel/greengagewheel/internal/claim"
+	"github.com/greengagewheel/greengagewheel/internal/clock"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/group"
 	"github.com/greengagewheel/greengagewheel/internal/repl"
@@ -45,6 +46,7 @@
 		Key      string `json:"key,omitempty"`
 		Print    string `json:"print,omitempty"`
 		Least    bool   `json:"least,omitempty"`
+		Document bool   `json:"document,omitempty"`
 	}
 
 	// View answers a query.
@@ -60,6 +62,7 @@
 		Least    uint64                       `json:"least,omitempty"`
 		Members  int                          `json:"members,omitempty"`
 		Status   repl.Status                  `json:"status"`
+		Document []byte                       `json:"document,omitempty"`
 	}
 
 	// Server serves the control state on a replica.
@@ -148,9 +151,11 @@
 		return View{}, err
 	}
 	v := View{Lead: true, Status: s.group.Status()}
-	v.Least, v.Members = s.least(time.Now())
+	v.Least, v.Members = s.least(clock.Now())
 	switch {
 	case q.Least:
+	case q.Document:
+		v.Document, _ = s.machine.Document()
 	case q.Print != "":
 		v.Print = s.machine.Print(q.Print)
 	case q.Key != "":
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -12,12 +12,15 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/clock"
 	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/memb"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
 	"github.com/greengagewheel/greengagewheel/pkg/endpt"
+	"github.com/greengagewheel/greengagewheel/pkg/table"
 )
 
 const (
@@ -38,16 +41,21 @@
 		Since(version uint64) (items []ctrl.Item, full bool, now uint64)
 		Cluster() string
 		LeaderAddr() netip.AddrPort
+		Replicas() []memb.Replica
 	}
 
 	// Options holds what the spread needs; Root is nil on an instance without the log.
 	Options struct {
 		Self     ctrl.Instance
 		Replicas []memb.Replica
-		Bound    time.Duration
-		Links    *peer.Links
-		Root     Root
-		Log      *zap.Logger
+		// Seeds returns addresses at which replicas may be found while none is known or answers; it may be nil.
+		Seeds func() []netip.AddrPort
+		// Direct lets each instance pull from replicas only.
+		Direct bool
+		Bound  time.Duration
+		Links  *peer.Links
+		Root   Root
+		Log    *zap.Logger
 	}
 
 	// Spread is this instance's copy of the configuration.
@@ -63,6 +71,8 @@
 		news     chan struct{}
 		poke     chan struct{}
 		lapsed   bool
+		replicas atomic.Pointer[[]memb.Replica]
+		leader   atomic.Pointer[netip.AddrPort]
 	}
 )
 
@@ -71,12 +81,15 @@
 	s := &Spread{opt: opt, items: map[string]ctrl.Item{}, children: memb.NewChildren(opt.Bound), news: make(chan struct{}),
 		poke: make(chan struct{}, 1)}
 	s.view.Store(emptyView())
+	s.replicas.Store(&opt.Replicas)
+	s.leader.Store(&netip.AddrPort{})
 	return s
 }
 
 func emptyView() *ctrl.View {
 	return &ctrl.View{
 		Contracts: contr.NewSet(0, nil), Instances: map[string]ctrl.Instance{}, Prints: map[string]ctrl.Print{}, Cells: map[string]endpt.Kind{},
+		Table: table.New(&table.Table{}), Endpoints: map[string]roster.Endpoint{},
 	}
 }
 
@@ -112,7 +125,7 @@
 
 // Run keeps the copy current until the context ends.
 func (s *Spread) Run(ctx context.Context) {
-	at, home := 0, time.Now()
+	at, home := 0, clock.Now()
 	for ctx.Err() == nil {
 		if s.opt.Root != nil && s.prove(ctx) {
 			at = 0
@@ -124,10 +137,10 @@
 			pace.Pause(ctx, retryPause)
 			continue
 		}
-		if time.Since(home) > homeEvery {
-			at, home = 0, time.Now()
+		if clock.Since(home) > homeEvery {
+			at, home = 0, clock.Now()
 		}
-		if !s.pull(ctx, parents[at%len(parents)]) || s.Age(time.Now()) > stale {
+		if !s.pull(ctx, parents[at%len(parents)]) || s.Age(clock.Now()) > stale {
 			at++
 			pace.Pause(ctx, retryPause)
 		}
@@ -149,18 +162,52 @@
 	if s.opt.Root != nil {
 		leader = s.opt.Root.LeaderAddr()
 	}
-	return memb.Parents(s.opt.Self, s.View().Instances, s.opt.Replicas, leader)
+	instances := s.View().Instances
+	if s.opt.Direct {
+		instances = nil
+	}
+	out := memb.Parents(s.opt.Self, instances, s.Replicas(), leader)
+	if s.opt.Seeds == nil {
+		return out
+	}
+	for _, a := range s.opt.Seeds() {
+		if a != s.opt.Self.Addr && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Replicas returns the instances that hold the log, as far as they are known.
+func (s *Spread) Replicas() []memb.Replica {
+	return *s.replicas.Load()
+}
+
+// Leader returns the peers' address of the replica that led when this instance last heard of it, or an invalid one.
+func (s *Spread) Leader() netip.AddrPort {
+	return *s.leader.Load()
+}
+
+// lead takes on what a parent or the own replica says of the log's members.
+func (s *Spread) lead(leader netip.AddrPort, replicas []memb.Replica) {
+	if leader != s.Leader() {
+		s.leader.Store(&leader)
+		s.opt.Log.Info("leader of the log changed", zap.Stringer("leader", leader))
+	}
+	if len(replicas) > 0 && !slices.Equal(replicas, s.Replicas()) {
+		s.replicas.Store(&replicas)
+	}
 }
 
 // watch logs when the proof lapses and when it is back.
 func (s *Spread) watch() {
-	lapsed := !s.Fresh(time.Now())
+	lapsed := !s.Fresh(clock.Now())
 	if lapsed == s.lapsed {
 		return
 	}
 	s.lapsed = lapsed
 	if lapsed {
-		s.opt.Log.Warn("configuration not proven current; admission stops", zap.Duration("age", s.Age(time.Now())))
+		s.opt.Log.Warn("configuration not proven current; admission stops", zap.Duration("age", s.Age(clock.Now())))
 		return
 	}
 	s.opt.Log.Info("configuration proven current", zap.Uint64("version", s.View().Version))
@@ -176,6 +223,7 @@
 	}
 	items, full, version := s.opt.Root.Since(s.View().Version)
 	s.take(s.opt.Root.Cluster(), items, full, version)
+	s.lead(s.opt.Root.LeaderAddr(), s.opt.Root.Replicas())
 	s.renew(moment)
 	s.watch()
 	return true
@@ -204,7 +252,7 @@
 
 // pull asks one parent for news and reports whether it could prove them.
 func (s *Spread) pull(ctx context.Context, from netip.AddrPort) bool {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	least, count := s.children.Least(now, s.View().Version)
 	p := memb.Pull{
@@ -221,6 +269,7 @@
 		return false
 	}
 	if n.Proven {
+		s.lead(n.Leader, n.Replicas)
 		s.renew(memb.FromNews(now, n))
 	}
 	return n.Proven
@@ -266,9 +315,70 @@
 		set(v, contracts, it)
 	}
 	v.Contracts = old.Contracts.With(version, contracts)
+	v.Table, v.Endpoints = routing(all, old, changed)
 	return v
 }
 
+// routing returns the routing table and the endpoints of a view, which are those of the old one where nothing changed.
+func routing(all map[string]ctrl.Item, old *ctrl.View, changed []ctrl.Item) (*table.Index, map[string]roster.Endpoint) {
+	index, eps := old.Table, old.Endpoints
+	for _, it := range changed {
+		switch it.Kind {
+		case ctrl.KindTable, ctrl.KindRoute, ctrl.KindService, ctrl.KindOrg:
+			index = nil
+		case ctrl.KindEndpoint:
+			eps = nil
+		}
+	}
+	if index == nil {
+		index = table.New(assemble(all))
+	}
+	if eps != nil {
+		return index, eps
+	}
+	eps = map[string]roster.Endpoint{}
+	for _, it := range all {
+		var e roster.Endpoint
+		if it.Kind == ctrl.KindEndpoint && !it.Gone && cbor.Unmarshal(it.Data, &e) == nil {
+			eps[it.Key] = e
+		}
+	}
+	return index, eps
+}
+
+// assemble puts a table together from its parts.
+func assemble(all map[string]ctrl.Item) *table.Table {
+	t := &table.Table{}
+	for _, it := range all {
+		if it.Gone {
+			continue
+		}
+		switch it.Kind {
+		case ctrl.KindTable:
+			var h ctrl.Head
+			if cbor.Unmarshal(it.Data, &h) == nil {
+				t.Version, t.Limits = h.Version, h.Limits
+			}
+		case ctrl.KindRoute:
+			t.Routes = decoded(t.Routes, it)
+		case ctrl.KindService:
+			t.Services = decoded(t.Services, it)
+		case ctrl.KindOrg:
+			t.Organisations = decoded(t.Organisations, it)
+		}
+	}
+	return t
+}
+
+// decoded appends what an item holds.
+func decoded[T any](to []T, it ctrl.Item) []T {
+	var v T
+	if cbor.Unmarshal(it.Data, &v) != nil {
+		return to
+	}
+	return append(to, v)
+}
+
 func set(v *ctrl.View, contracts map[string]*contr.Contract, it ctrl.Item) {
 	switch it.Kind {
 	case ctrl.KindContract:
@@ -299,7 +409,7 @@
 
 // Serve answers a child's pull: at once when there is something newer, else when the proof is renewed.
 func (s *Spread) Serve(ctx context.Context, p memb.Pull) (memb.News, error) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	s.mu.Lock()
 	s.children.Seen(arrived, p)
 	news := s.news
@@ -320,9 +430,9 @@
 func (s *Spread) answer(arrived time.Time, p memb.Pull) memb.News {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := memb.News{Cluster: s.cluster, Version: s.view.Load().Version}
+	n := memb.News{Cluster: s.cluster, Version: s.view.Load().Version, Leader: s.Leader(), Replicas: s.Replicas()}
 	moment, ok := s.proof.Moment()
-	n.Proven = ok && s.proof.Fresh(time.Now(), s.opt.Bound)
+	n.Proven = ok && s.proof.Fresh(clock.Now(), s.opt.Bound)
 	n.Ahead = moment.Sub(arrived)
 	if !n.Proven {
 		n.Ahead = 0
