--- /dev/null
+++ b/internal/picker/desk.go
@@ -0,0 +1,132 @@
+package picker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
+	"github.com/greengagewheel/greengagewheel/internal/place"
+)
+
+const (
+	tickEvery = 100 * time.Millisecond
+	maxEvents = 4096
+)
+
+type (
+	// Ask asks for a placement, tells what became of earlier ones, or both. Boot is new at each start of the entry.
+	Ask struct {
+		Entry   string         `json:"entry"`
+		Boot    string         `json:"boot"`
+		Request *place.Request `json:"request,omitempty"`
+		Events  []place.Event  `json:"events,omitempty"`
+	}
+
+	// Reply answers an ask; with Leads unset this instance places nothing.
+	Reply struct {
+		Leads  bool            `json:"leads"`
+		Found  bool            `json:"found"`
+		Choice place.Choice    `json:"choice"`
+		Loads  []place.Summary `json:"loads,omitempty"`
+	}
+
+	// DeskOptions holds what a desk needs; Leads tells whether this instance leads the log.
+	DeskOptions struct {
+		View  func() *ctrl.View
+		Leads func() bool
+		Now   func() time.Time
+		Log   *zap.Logger
+	}
+
+	// Desk places the requests of all entries where the log is led.
+	Desk struct {
+		opt    DeskOptions
+		mu     sync.Mutex
+		board  *place.Board
+		synced *ctrl.View
+		boots  map[string]string
+		leads  bool
+	}
+)
+
+// NewDesk returns a desk with an empty board.
+func NewDesk(opt DeskOptions) *Desk {
+	return &Desk{opt: opt, board: place.New(), boots: map[string]string{}}
+}
+
+// Serve answers an ask.
+func (d *Desk) Serve(_ context.Context, a Ask) (Reply, error) {
+	now := d.opt.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.lead() {
+		return Reply{}, nil
+	}
+	if boot := d.boots[a.Entry]; boot != a.Boot {
+		d.boots[a.Entry] = a.Boot
+		if boot != "" {
+			d.board.Lost(now, a.Entry)
+		}
+	}
+	if len(a.Events) > maxEvents {
+		a.Events = a.Events[:maxEvents]
+	}
+	for _, e := range a.Events {
+		d.board.Take(now, e)
+	}
+	r := Reply{Leads: true}
+	if a.Request == nil {
+		return r, nil
+	}
+	r.Choice, r.Found = d.board.Place(now, *a.Request)
+	r.Loads = d.board.Summarize(now, a.Request.Service, a.Entry)
+	return r, nil
+}
+
+// lead brings the board up to date and reports whether this instance places requests; one that begins to starts empty.
+func (d *Desk) lead() bool {
+	leads := d.opt.Leads()
+	if leads != d.leads {
+		d.leads = leads
+		d.board, d.synced, d.boots = place.New(), nil, map[string]string{}
+		d.opt.Log.Info("placing of requests changed hands", zap.Bool("here", leads))
+	}
+	if !leads {
+		return false
+	}
+	if v := d.opt.View(); v != d.synced {
+		d.synced = v
+		d.board.Sync(v.Endpoints, v.Table)
+	}
+	return true
+}
+
+// Heard notes that an endpoint was heard.
+func (d *Desk) Heard(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.board.Heard(d.opt.Now(), id)
+}
+
+// Run keeps the board until the context ends.
+func (d *Desk) Run(ctx context.Context) {
+	pace.Every(ctx, tickEvery, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.lead() {
+			d.board.Tick(d.opt.Now())
+		}
+	})
+}
+
+// Check returns an error for an ask that no entry sends.
+func (a *Ask) Check() error {
+	if a.Request != nil {
+		return a.Request.Check()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/place/board.go
@@ -0,0 +1,314 @@
+package place
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/greengagewheel/greengagewheel/internal/roster"
+	"github.com/greengagewheel/greengagewheel/pkg/table"
+)
+
+const (
+	// prefillRate is the number of prompt tokens that an engine reads in a second, until its answers tell otherwise.
+	prefillRate = 60_000
+	// baseDelay is the time to the first answer of an empty engine for an empty prompt.
+	baseDelay = 100 * time.Millisecond
+	// callDelay is the time that a plain service takes for a call, until its answers tell otherwise.
+	callDelay = 50 * time.Millisecond
+	// perRun is what each running request adds to the time of a new one on an engine.
+	perRun = time.Millisecond
+	// otherZone is what an endpoint of another zone must be faster by: a trip there and back, and the price of the bytes.
+	otherZone = 15 * time.Millisecond
+	// fullDelay is added for an endpoint whose slots are all taken.
+	fullDelay = time.Second
+	// troubleDelay is added for each failure in an endpoint's recent past.
+	troubleDelay = 400 * time.Millisecond
+	// troubleHalf is the time after which a failure counts half.
+	troubleHalf = 2 * time.Second
+	// slowMost bounds the factor by which an endpoint is taken to be slower than expected.
+	slowMost = 16
+	// slowWeight is the weight of the newest answer in that factor.
+	slowWeight = 0.3
+	// slowHalf is the time without answers after which half of that factor is forgotten.
+	slowHalf = 4 * time.Second
+	// overtime is how long after its caller's deadline a run whose end was never told is forgotten.
+	overtime = 2 * time.Second
+	// firstAnswer is the factor over the expected time after which a run without an answer counts against its endpoint.
+	firstAnswer = 4
+	// leastPatience is the shortest such time.
+	leastPatience = 700 * time.Millisecond
+)
+
+type (
+	// run is one request at an endpoint.
+	run struct {
+		q        Request
+		need     int
+		began    time.Time
+		expected time.Duration
+		first    bool
+		late     bool
+	}
+
+	// load is what is known of one endpoint.
+	load struct {
+		ep        roster.Endpoint
+		engine    bool
+		slots     int
+		runs      map[string]*run
+		backlog   int
+		cache     *cache
+		trouble   float64
+		troubleAt time.Time
+		slow      float64
+		slowAt    time.Time
+		elsewhere Summary
+	}
+
+	// Board is the state from which endpoints are chosen; its owner calls it from one goroutine at a time.
+	Board struct {
+		loads    map[string]*load
+		services map[string][]*load
+		runs     map[string]*load
+	}
+)
+
+// New returns a board without endpoints.
+func New() *Board {
+	return &Board{loads: map[string]*load{}, services: map[string][]*load{}, runs: map[string]*load{}}
+}
+
+// Sync makes the board's endpoints those given, of the services of a table.
+func (b *Board) Sync(eps map[string]roster.Endpoint, t *table.Index) {
+	for id, l := range b.loads {
+		if e, ok := eps[id]; !ok || e.Born != l.ep.Born || e.Addr != l.ep.Addr {
+			b.drop(l)
+		}
+	}
+	b.services = map[string][]*load{}
+	for id, e := range eps {
+		l := b.loads[id]
+		if l == nil {
+			l = &load{runs: map[string]*run{}, slow: 1}
+			b.loads[id] = l
+		}
+		l.ep, l.slots, l.engine = e, e.Slots, false
+		if s := t.Service(e.Service); s != nil && s.Engine != nil {
+			l.engine = true
+			if l.cache == nil {
+				l.cache = newCache(s.Engine.Tokens)
+			}
+			if s.Engine.Slots > 0 {
+				l.slots = s.Engine.Slots
+			}
+		}
+		b.services[e.Service] = append(b.services[e.Service], l)
+	}
+	for _, ls := range b.services {
+		sort.Slice(ls, func(i, j int) bool { return ls[i].ep.ID < ls[j].ep.ID })
+	}
+}
+
+func (b *Board) drop(l *load) {
+	for id := range l.runs {
+		delete(b.runs, id)
+	}
+	delete(b.loads, l.ep.ID)
+}
+
+// Place chooses the endpoint for a request and enters its run; false tells that no endpoint can take it.
+func (b *Board) Place(now time.Time, q Request) (Choice, bool) {
+	if l := b.runs[q.Run]; l != nil {
+		return l.choice(), true
+	}
+	keys := chain(q.Parts)
+	var best *load
+	var bestCost time.Duration
+	for _, l := range b.services[q.Service] {
+		if l.ep.State != roster.Ready || avoided(q.Avoid, l.ep.ID) {
+			continue
+		}
+		cost := l.cost(now, &q, keys)
+		if best == nil || cost < bestCost {
+			best, bestCost = l, cost
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	b.enter(now, best, q, keys)
+	return best.choice(), true
+}
+
+func (l *load) choice() Choice {
+	return Choice{ID: l.ep.ID, Addr: l.ep.Addr, Born: l.ep.Born, Zone: l.ep.Zone}
+}
+
+func avoided(avoid []string, id string) bool {
+	for _, a := range avoid {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Board) enter(now time.Time, l *load, q Request, keys []uint64) {
+	r := &run{q: q, need: l.need(&q, keys), began: now, expected: l.expect(now, &q, keys)}
+	l.runs[q.Run] = r
+	l.backlog += r.need
+	b.runs[q.Run] = l
+	if l.cache != nil {
+		l.cache.touch(keys, q.Parts)
+	}
+}
+
+// need returns the prompt tokens that an endpoint must likely read for a request.
+func (l *load) need(q *Request, keys []uint64) int {
+	if l.cache == nil {
+		return 0
+	}
+	return max(0, q.Input-l.cache.hit(keys, q.Parts))
+}
+
+// expect returns the time to the first answer of a request at an endpoint that is as fast as it should be.
+func (l *load) expect(_ time.Time, q *Request, keys []uint64) time.Duration {
+	if !l.engine {
+		waiting := max(0, l.running()-l.slots+1)
+		return callDelay + callDelay*time.Duration(waiting)/time.Duration(max(1, l.slots))
+	}
+	tokens := l.backlog + l.elsewhere.Backlog + l.need(q, keys)
+	return baseDelay + time.Duration(float64(tokens)/prefillRate*float64(time.Second)) + time.Duration(l.running())*perRun
+}
+
+func (l *load) running() int {
+	return len(l.runs) + l.elsewhere.Running
+}
+
+// cost returns what speaks against an endpoint, as a time.
+func (l *load) cost(now time.Time, q *Request, keys []uint64) time.Duration {
+	c := time.Duration(float64(l.expect(now, q, keys)) * l.slowness(now))
+	if !l.engine {
+		c += time.Duration(l.running()) * callDelay / time.Duration(max(1, 4*l.slots))
+	}
+	if l.slots > 0 && l.running() >= l.slots {
+		c += fullDelay
+	}
+	if l.ep.Zone != q.Zone {
+		c += otherZone
+	}
+	return c + time.Duration((l.troubles(now)+float64(l.elsewhere.Trouble)/troubleUnit)*float64(troubleDelay))
+}
+
+// troubles returns the number of recent failures, each of which counts less as time passes.
+func (l *load) troubles(now time.Time) float64 {
+	return l.trouble * math.Exp2(-now.Sub(l.troubleAt).Seconds()/troubleHalf.Seconds())
+}
+
+func (l *load) addTrouble(now time.Time, n float64) {
+	l.trouble = l.troubles(now) + n
+	l.troubleAt = now
+}
+
+// slowness returns the factor by which an endpoint was slower than expected of late.
+func (l *load) slowness(now time.Time) float64 {
+	return 1 + (l.slow-1)*math.Exp2(-now.Sub(l.slowAt).Seconds()/slowHalf.Seconds())
+}
+
+// Take takes in what became of a run.
+func (b *Board) Take(now time.Time, e Event) {
+	if e.Start != nil {
+		b.Cancel(e.Run)
+		if l := b.loads[e.At]; l != nil {
+			b.enter(now, l, *e.Start, chain(e.Start.Parts))
+		}
+	}
+	l := b.runs[e.Run]
+	if l == nil {
+		return
+	}
+	r := l.runs[e.Run]
+	if e.First > 0 {
+		l.answered(now, r, e.First)
+	}
+	if e.End != 0 {
+		b.end(now, l, r, e.End)
+	}
+}
+
+// Cancel forgets a run that was never sent.
+func (b *Board) Cancel(id string) {
+	l := b.runs[id]
+	if l == nil {
+		return
+	}
+	if r := l.runs[id]; !r.first {
+		l.backlog -= r.need
+	}
+	delete(l.runs, id)
+	delete(b.runs, id)
+}
+
+// answered notes the first answer of a run.
+func (l *load) answered(now time.Time, r *run, after time.Duration) {
+	if r.first {
+		return
+	}
+	r.first = true
+	l.backlog -= r.need
+	if r.expected > 0 {
+		ratio := min(max(after.Seconds()/r.expected.Seconds(), 1), slowMost)
+		l.slow = l.slowness(now)*(1-slowWeight) + ratio*slowWeight
+		l.slowAt = now
+	}
+}
+
+func (b *Board) end(now time.Time, l *load, r *run, o Outcome) {
+	b.Cancel(r.q.Run)
+	switch o {
+	case Unreached, Misled:
+		l.addTrouble(now, 4)
+	case Broken, Silent:
+		l.addTrouble(now, 2)
+	case Failed:
+		l.addTrouble(now, 0.5)
+	case Declined:
+		l.addTrouble(now, 1)
+	}
+}
+
+// Tick forgets runs whose end was never told, and notes endpoints that are long over the expected time of a first answer.
+func (b *Board) Tick(now time.Time) {
+	for _, l := range b.loads {
+		for _, r := range l.runs {
+			age := now.Sub(r.began)
+			if age > r.q.Left+overtime {
+				b.end(now, l, r, Left)
+				continue
+			}
+			if !r.first && !r.late && age > max(leastPatience, firstAnswer*r.expected) {
+				r.late = true
+				l.addTrouble(now, 1)
+			}
+		}
+	}
+}
+
+// Heard notes that an endpoint was heard after its failures, so that a restarted one is used again.
+func (b *Board) Heard(now time.Time, id string) {
+	if l := b.loads[id]; l != nil {
+		l.trouble, l.troubleAt = min(l.troubles(now), 1), now
+	}
+}
+
+// Lost forgets the runs of an entry that has started anew.
+func (b *Board) Lost(now time.Time, entry string) {
+	for _, l := range b.loads {
+		for _, r := range l.runs {
+			if r.q.Entry == entry {
+				b.end(now, l, r, Left)
+			}
+		}
+	}
+}
