router, platform, deploy: run on the users' platform

One program, two roles told apart by their settings, which a template renders. platform/ decodes the wire into the product's types.

--- a/cmd/greengagewheel/main.go
+++ b/cmd/greengagewheel/main.go
@@ -5,8 +5,11 @@
 	"os"
 
 	"github.com/greengagewheel/greengagewheel/internal/cmds"
+	"github.com/greengagewheel/greengagewheel/platform"
 )
 
 func main() {
-	os.Exit(cmds.Main(os.Args[1:], cmds.Std()))
+	env := cmds.Std()
+	env.Settings, env.Wire = platform.SettingsFile(), platform.Wire{}
+	os.Exit(cmds.Main(os.Args[1:], env))
 }
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -8,6 +8,8 @@
 	"sort"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/greengagewheel/greengagewheel/internal/router"
 )
 
 // Exit codes of the program.
@@ -26,10 +28,13 @@
 	data  func(env *Env) any
 }
 
-// Env is what a command may use of its surroundings.
+// Env is what a command may use of its surroundings. Settings is the settings file where none is named, or empty; Wire is
+// how instances that route by a table are spoken to.
 type Env struct {
-	Out io.Writer
-	Err io.Writer
+	Out      io.Writer
+	Err      io.Writer
+	Settings string
+	Wire     router.Wire
 }
 
 // usage is an error in how a command was called.
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"os/signal"
 	"syscall"
 
 	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/logs"
 	"github.com/greengagewheel/greengagewheel/internal/node"
+	"github.com/greengagewheel/greengagewheel/internal/router"
 )
 
 func init() {
@@ -20,24 +22,46 @@
 
 type serveCmd struct {
 	env  *Env
-	Conf string `long:"conf" value-name:"FILE" required:"true" description:"settings file"`
+	Conf string `long:"conf" value-name:"FILE" description:"settings file; the platform's where none is named"`
 }
 
 // Execute runs the command.
 func (c *serveCmd) Execute([]string) error {
+	if c.Conf == "" {
+		c.Conf = c.env.Settings
+	}
+	if c.Conf == "" {
+		return usage{errors.New("serve: --conf FILE is needed")}
+	}
 	settings, err := conf.Load(c.Conf)
 	if err != nil {
 		return err
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if settings.Mode == conf.ModeRoutes {
+		return c.routes(ctx, settings)
+	}
 	log, err := logs.New(c.env.Err, settings.Log.Level)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	n, err := node.New(settings, log)
 	if err != nil {
 		return err
 	}
 	return n.Run(ctx)
 }
+
+// routes runs an instance that routes by a routing table.
+func (c *serveCmd) routes(ctx context.Context, settings conf.Conf) error {
+	log, err := logs.New(c.env.Out, settings.Log.Level)
+	if err != nil {
+		return err
+	}
+	r, err := router.New(settings, c.Conf, c.env.Wire, log)
+	if err != nil {
+		return err
+	}
+	return r.Run(ctx)
+}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -16,9 +16,18 @@
 //go:embed sample.toml
 var Sample []byte
 
+// What an instance routes by.
+const (
+	// ModeContracts routes models and services by customers' contracts.
+	ModeContracts = "contracts"
+	// ModeRoutes routes hosts and paths by one routing table that operators replace as a whole.
+	ModeRoutes = "routes"
+)
+
 type (
 	// Conf is the whole settings file of one instance.
 	Conf struct {
+		Mode     string   `toml:"mode"`
 		Instance Instance `toml:"instance"`
 		Listen   Listen   `toml:"listen"`
 		Peers    Peers    `toml:"peers"`
@@ -26,6 +35,8 @@
 		Limits   Limits   `toml:"limits"`
 		Fresh    Fresh    `toml:"fresh"`
 		Sched    Sched    `toml:"sched"`
+		Retry    Retry    `toml:"retry"`
+		Stop     Stop     `toml:"stop"`
 		Log      Log      `toml:"log"`
 	}
 
@@ -39,7 +50,7 @@
 
 	// section is a part of the settings that checks itself; its problems name keys within it.
 	section interface {
-		check() (key string, err error)
+		check(mode string) (key string, err error)
 	}
 )
 
@@ -51,9 +62,12 @@
 // Default returns the settings that hold where a file says nothing.
 func Default() Conf {
 	return Conf{
+		Mode:   ModeContracts,
 		Limits: defaultLimits(),
 		Fresh:  defaultFresh(),
 		Sched:  defaultSched(),
+		Retry:  defaultRetry(),
+		Stop:   defaultStop(),
 		Log:    Log{Level: "info"},
 	}
 }
@@ -83,15 +97,18 @@
 }
 
 func (c *Conf) check() *Problem {
+	if c.Mode != ModeContracts && c.Mode != ModeRoutes {
+		return &Problem{Key: "mode", Reason: "must be \"contracts\" or \"routes\""}
+	}
 	parts := []struct {
 		name string
 		sec  section
 	}{
 		{"instance", &c.Instance}, {"listen", &c.Listen}, {"peers", &c.Peers}, {"keys", &c.Keys},
-		{"limits", &c.Limits}, {"fresh", &c.Fresh}, {"sched", &c.Sched}, {"log", &c.Log},
+		{"limits", &c.Limits}, {"fresh", &c.Fresh}, {"sched", &c.Sched}, {"retry", &c.Retry}, {"stop", &c.Stop}, {"log", &c.Log},
 	}
 	for _, p := range parts {
-		if key, err := p.sec.check(); err != nil {
+		if key, err := p.sec.check(c.Mode); err != nil {
 			return &Problem{Key: p.name + "." + key, Reason: err.Error()}
 		}
 	}
@@ -116,8 +133,11 @@
 
 // lineOf returns the line on which a dotted key stands, else that of its section, else 1.
 func lineOf(text, key string) int {
-	table, name, _ := strings.Cut(key, ".")
+	table, name, in := strings.Cut(key, ".")
 	at, found := 1, false
+	if !in {
+		table, name, found = "", key, true
+	}
 	for i, l := range strings.Split(text, "\n") {
 		l = strings.TrimSpace(l)
 		if strings.HasPrefix(l, "[") {
--- a/internal/conf/fresh.go
+++ b/internal/conf/fresh.go
@@ -21,7 +21,7 @@
 	return Fresh{Bound: Duration(3 * time.Second), Lost: LostStop}
 }
 
-func (f *Fresh) check() (string, error) {
+func (f *Fresh) check(string) (string, error) {
 	switch {
 	case f.Bound.Std() < time.Second || f.Bound.Std() > 5*time.Second:
 		return "bound", errors.New("must be 1s to 5s")
--- a/internal/conf/keys.go
+++ b/internal/conf/keys.go
@@ -15,7 +15,10 @@
 	Secret   string `toml:"secret"`
 }
 
-func (k *Keys) check() (string, error) {
+func (k *Keys) check(mode string) (string, error) {
+	if mode == ModeRoutes {
+		return k.checkRoutes()
+	}
 	for _, e := range []struct{ key, value string }{
 		{"operator", k.Operator}, {"endpoint", k.Endpoint}, {"secret", k.Secret},
 	} {
@@ -28,3 +31,11 @@
 	}
 	return "", nil
 }
+
+// checkRoutes checks the only key that instances of this mode use.
+func (k *Keys) checkRoutes() (string, error) {
+	if len(k.Secret) < minKey {
+		return "secret", fmt.Errorf("is missing or shorter than %d bytes", minKey)
+	}
+	return "", nil
+}
--- a/internal/conf/limits.go
+++ b/internal/conf/limits.go
@@ -27,6 +27,7 @@
 	Call   Duration `toml:"call"`
 	Drain  Duration `toml:"drain"`
 	Retry  string   `toml:"retry"`
+	Memory Size     `toml:"memory"`
 }
 
 func defaultLimits() Limits {
@@ -40,7 +41,7 @@
 	}
 }
 
-func (l *Limits) check() (string, error) {
+func (l *Limits) check(string) (string, error) {
 	switch {
 	case l.Body < minSize || l.Body > maxSize:
 		return "body", errors.New("must be 1KiB to 64MiB")
--- a/internal/conf/log.go
+++ b/internal/conf/log.go
@@ -11,7 +11,7 @@
 	Level string `toml:"level"`
 }
 
-func (l *Log) check() (string, error) {
+func (l *Log) check(string) (string, error) {
 	if _, err := zapcore.ParseLevel(l.Level); err != nil {
 		return "level", fmt.Errorf("%q is not debug, info, warn or error", l.Level)
 	}
--- a/internal/conf/peers.go
+++ b/internal/conf/peers.go
@@ -6,6 +6,9 @@
 	"net/netip"
 )
 
+// maxTolerate is the largest number of replicas that the log can lose at once: each one more costs two more replicas.
+const maxTolerate = 3
+
 type (
 	// Replica is one instance that holds the replicated log.
 	Replica struct {
@@ -14,13 +17,21 @@
 		Addr netip.AddrPort `toml:"addr"`
 	}
 
-	// Peers lists the instances that first hold the replicated log.
+	// Peers tells where the replicated log is: by the list of the instances that first hold it or, with routes, by Seeds,
+	// operators' addresses of some of them. Found lets the seeds found the log; Tolerate is the number of replicas that may
+	// be lost at once.
 	Peers struct {
-		Replicas []Replica `toml:"replicas"`
+		Replicas []Replica        `toml:"replicas"`
+		Seeds    []netip.AddrPort `toml:"seeds"`
+		Found    bool             `toml:"found"`
+		Tolerate int              `toml:"tolerate"`
 	}
 )
 
-func (p *Peers) check() (string, error) {
+func (p *Peers) check(mode string) (string, error) {
+	if mode == ModeRoutes {
+		return p.checkRoutes()
+	}
 	if len(p.Replicas) == 0 {
 		return "replicas", errors.New("is missing or empty")
 	}
@@ -39,3 +50,13 @@
 	}
 	return "", nil
 }
+
+func (p *Peers) checkRoutes() (string, error) {
+	switch {
+	case len(p.Seeds) == 0:
+		return "seeds", errors.New("is missing or empty")
+	case p.Tolerate < 0 || p.Tolerate > maxTolerate:
+		return "tolerate", fmt.Errorf("must be 0 to %d", maxTolerate)
+	}
+	return "", nil
+}
--- a/internal/conf/sched.go
+++ b/internal/conf/sched.go
@@ -27,7 +27,7 @@
 	}
 }
 
-func (s *Sched) check() (string, error) {
+func (s *Sched) check(string) (string, error) {
 	switch {
 	case s.Queue < 1 || s.Queue > maxQueue:
 		return "queue", errors.New("must be 1 to 1000000 requests")
