spread, group, quorum: follow a new leader at once; reopen storage that failed

Configurations sent while the leader was frozen had no acknowledgement within 4 s: each replica waited 2 s for the leader that it had reached last. A full disk ended the process. Ruled out: elections (a leader after 1.1 s), the pulls themselves (answered). Change: replicas know the members and the leader from their own log; a change of leader ends pulls that wait and is told to those that pull; a parent whose own proof is old answers at once; proposals go where the own log says; storage that failed is opened again while the process goes on. Test: TestFullStorage (failed before); TestLostStorage asks for ErrNotLeader in place of ErrStopped, for a second, and for no new cluster, as the replica now goes on.

--- a/internal/ctrl/machine.go
+++ b/internal/ctrl/machine.go
@@ -89,6 +89,14 @@
 	return nil
 }
 
+// Reset empties the state.
+func (m *Machine) Reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.st = NewState()
+	clear(m.heard)
+}
+
 // Lease returns a cell's lease, and whether it may be taken: never held, given up, or not renewed for its term.
 func (m *Machine) Lease(now time.Time, cell string) (Lease, bool) {
 	m.mu.RLock()
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -5,7 +5,9 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -26,6 +28,8 @@
 	// sendTimeout is how long messages to a replica wait for an answer before a new connection is tried; it is below the
 	// longest time without a leader after which a replica stands for election.
 	sendTimeout = 700 * time.Millisecond
+	// reopenEvery is the time between two tries to use storage that failed.
+	reopenEvery = 300 * time.Millisecond
 	// snapEvery is the number of entries after which the log is compacted.
 	snapEvery = 8192
 	// snapBytes is the size of the log file in bytes after which the log is compacted.
@@ -49,6 +53,8 @@
 		Apply(index uint64, data []byte) any
 		Snapshot() ([]byte, error)
 		Restore(data []byte) error
+		// Reset empties the state, before what is stored is applied anew.
+		Reset()
 	}
 
 	// Options holds what a replica needs.
@@ -90,6 +96,10 @@
 		met     map[string]repl.Member
 		wg      conc.WaitGroup
 		ctx     context.Context
+		turned  func()
+		founds  atomic.Bool
+		// failed is when storage failed last, while it cannot be used.
+		failed time.Time
 	}
 
 	waiter struct {
@@ -128,6 +138,7 @@
 		done: make(chan struct{}), waiting: map[uint64]waiter{}, reads: map[uint64]readWaiter{},
 		sending: map[string]chan repl.Msg{}, met: map[string]repl.Member{},
 	}
+	g.founds.Store(len(opt.Peers) > 0)
 	ident := st.Identity()
 	if wiped {
 		opt.Log.Error("log damaged; the folder was emptied and joins anew", zap.String("id", ident.ID))
@@ -155,6 +166,11 @@
 	return nil
 }
 
+// OnLeader sets what is called after each change of the leader, before Run; it must not block.
+func (g *Group) OnLeader(f func()) {
+	g.turned = f
+}
+
 // Run works until the context ends; it must be called once.
 func (g *Group) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -178,6 +194,10 @@
 		case <-t.C:
 		}
 		g.drain()
+		if !g.failed.IsZero() {
+			g.reopen()
+			t.Reset(reopenEvery)
+		}
 		if g.core == nil {
 			continue
 		}
@@ -185,14 +205,51 @@
 		g.core.Flush()
 		t.Reset(max(shortestTick, g.core.Next().Sub(g.opt.Now())))
 		if err := g.flush(); err != nil {
-			g.opt.Log.Error("replica stops: storage failed", zap.Error(err))
+			g.opt.Log.Error("storage failed; the replica takes no part until it can be used", zap.Error(err))
 			g.failAll(err)
 			g.retire()
-			return
+			g.core, g.failed = nil, g.opt.Now()
+			t.Reset(reopenEvery)
 		}
 	}
 }
 
+// reopen goes on from what is stored, as after a start, once storage can be used again. A folder that was lost meanwhile has a
+// new identity and can only join.
+func (g *Group) reopen() {
+	now := g.opt.Now()
+	if now.Sub(g.failed) < reopenEvery {
+		return
+	}
+	g.failed = now
+	if err := g.store.Close(); err != nil && !errors.Is(err, os.ErrClosed) {
+		g.opt.Log.Warn("failed log not closed", zap.Error(err))
+	}
+	st, stored, wiped, err := store.Open(g.opt.Dir)
+	if err != nil {
+		g.opt.Log.Debug("storage cannot be used yet", zap.Error(err))
+		return
+	}
+	g.mu.Lock()
+	before := g.store.Identity()
+	g.store = st
+	g.mu.Unlock()
+	g.failed = time.Time{}
+	g.opt.Machine.Reset()
+	ident := st.Identity()
+	g.opt.Log.Info("storage can be used again", zap.String("id", ident.ID), zap.Bool("wiped", wiped || ident.ID != before.ID))
+	if ident.ID != before.ID {
+		g.founds.Store(false)
+	}
+	if ident.Cluster == "" {
+		return
+	}
+	if err := g.start(stored, now); err != nil {
+		g.opt.Log.Error("stored state not restored", zap.Error(err))
+		g.core, g.failed = nil, now
+	}
+}
+
 // drain takes in all that waits, so that one sync serves it.
 func (g *Group) drain() {
 	for range inbox {
@@ -299,8 +356,12 @@
 	st := g.core.Status()
 	lead, _ := g.core.LeaderAddr()
 	g.mu.Lock()
+	turned := g.leader.ID != lead.ID
 	g.status, g.leader = st, lead
 	g.mu.Unlock()
+	if turned && g.turned != nil {
+		g.turned()
+	}
 }
 
 // retire makes the status that of a replica that takes no part.
--- a/internal/group/wire.go
+++ b/internal/group/wire.go
@@ -218,7 +218,7 @@
 			return
 		}
 	}
-	if all && len(g.opt.Peers) > 0 && g.Cluster() == "" && g.first(replies) {
+	if all && g.founds.Load() && g.Cluster() == "" && g.first(replies) {
 		conf := repl.Conf{Members: []repl.Member{self}}
 		for _, r := range replies {
 			conf.Members = append(conf.Members, r.Self)
--- a/internal/memb/proof.go
+++ b/internal/memb/proof.go
@@ -10,8 +10,8 @@
 const (
 	// DriftPercent bounds how much two clocks' rates may differ.
 	DriftPercent = 1
-	// Hold is how long a pull waits for news at its parent.
-	Hold = time.Second
+	// Hold is how long a pull waits for news at its parent; above the time between two proofs.
+	Hold = 600 * time.Millisecond
 )
 
 type (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,7 +168,7 @@
 		addrs = append(addrs, r.Addr)
 		replicas = append(replicas, memb.Replica{Name: r.Name, Zone: r.Zone, Addr: r.Addr})
 	}
-	n.quorum = quorum.NewClient(n.links, func() []netip.AddrPort { return addrs })
+	n.quorum = quorum.NewClient(n.links, func() []netip.AddrPort { return addrs }, nil)
 	n.members = &quorum.Registrar{Client: n.quorum, Self: n.self, Log: n.log}
 	if n.group != nil {
 		n.members.Lost = n.lost
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	callTimeout = 2 * time.Second
+	// callTimeout is above the time of a commit, with slow disks too, and below the time after which callers turn elsewhere.
+	callTimeout = 700 * time.Millisecond
 	pause       = 50 * time.Millisecond
 )
 
@@ -28,16 +29,23 @@
 type Client struct {
 	links    *peer.Links
 	replicas func() []netip.AddrPort
+	hint     func() netip.AddrPort
 	lead     atomic.Pointer[netip.AddrPort]
 }
 
-// NewClient returns a client; replicas returns the addresses of the replicas that are known at present.
-func NewClient(links *peer.Links, replicas func() []netip.AddrPort) *Client {
-	return &Client{links: links, replicas: replicas}
+// NewClient returns a client. replicas returns the addresses of the replicas that are known at present, and hint that of the
+// one that is believed to lead, or an invalid one; hint may be nil.
+func NewClient(links *peer.Links, replicas func() []netip.AddrPort, hint func() netip.AddrPort) *Client {
+	return &Client{links: links, replicas: replicas, hint: hint}
 }
 
-// Leader returns the address of the replica that led when last asked.
+// Leader returns the address of the replica that is believed to lead, or that led when last asked.
 func (c *Client) Leader() (netip.AddrPort, bool) {
+	if c.hint != nil {
+		if a := c.hint(); a.IsValid() {
+			return a, true
+		}
+	}
 	p := c.lead.Load()
 	if p == nil {
 		return netip.AddrPort{}, false
@@ -88,6 +96,7 @@
 	var last error = ErrNoLeader
 	next := 0
 	to, known := c.Leader()
+	tried := netip.AddrPort{}
 	for {
 		if !known {
 			all := c.replicas()
@@ -108,6 +117,8 @@
 		known = err == nil && hint.IsValid() && hint != to
 		if known {
 			to = hint
+		} else if a, ok := c.Leader(); ok && a != to && a != tried {
+			tried, to, known = a, a, true
 		}
 		if err := sleep(ctx, known); err != nil {
 			return maybe, fault.At("find leader", "", errors.Join(last, err))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -183,11 +183,12 @@
 		opt.Root = root{r.group, r.machine}
 	}
 	r.spread = spread.New(opt)
-	r.quorum = quorum.NewClient(r.links, r.replicas)
+	r.quorum = quorum.NewClient(r.links, r.replicas, r.leader)
 	r.members = &quorum.Registrar{Client: r.quorum, Self: r.self, Log: r.log}
 	if r.group != nil {
 		r.server = quorum.NewServer(r.group, r.machine, r.spread.Least)
 		r.machine.OnChange(r.spread.Wake)
+		r.group.OnLeader(r.spread.Turn)
 		r.desk = picker.NewDesk(picker.DeskOptions{View: r.spread.View, Leads: r.leads, Now: clock.Now, Log: r.log})
 		r.control = newControl(r, c)
 	}
@@ -202,6 +203,14 @@
 	return append(out, r.seeds()...)
 }
 
+// leader returns the peers' address of the replica that is believed to lead, or an invalid one.
+func (r *Router) leader() netip.AddrPort {
+	if r.group != nil {
+		return r.group.LeaderAddr()
+	}
+	return r.spread.Leader()
+}
+
 // leads reports whether this instance leads the log.
 func (r *Router) leads() bool {
 	return r.group.Status().Role == repl.Leader.String()
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -30,7 +30,8 @@
 	stale = 1200 * time.Millisecond
 	// homeEvery is the time after which the best parent is tried again.
 	homeEvery   = 5 * time.Second
-	pullTimeout = memb.Hold + 500*time.Millisecond
+	// pullTimeout is how long a parent that does not answer is waited for.
+	pullTimeout = memb.Hold + 300*time.Millisecond
 	retryPause  = 100 * time.Millisecond
 )
 
@@ -71,6 +72,7 @@
 		news     chan struct{}
 		poke     chan struct{}
 		lapsed   bool
+		stop     context.CancelFunc
 		replicas atomic.Pointer[[]memb.Replica]
 		leader   atomic.Pointer[netip.AddrPort]
 	}
@@ -180,6 +182,9 @@
 
 // Replicas returns the instances that hold the log, as far as they are known.
 func (s *Spread) Replicas() []memb.Replica {
+	if s.opt.Root != nil {
+		return s.opt.Root.Replicas()
+	}
 	return *s.replicas.Load()
 }
 
@@ -193,6 +198,9 @@
 	if leader != s.Leader() {
 		s.leader.Store(&leader)
 		s.opt.Log.Info("leader of the log changed", zap.Stringer("leader", leader))
+		s.mu.Lock()
+		s.wake()
+		s.mu.Unlock()
 	}
 	if len(replicas) > 0 && !slices.Equal(replicas, s.Replicas()) {
 		s.replicas.Store(&replicas)
@@ -229,6 +237,20 @@
 	return true
 }
 
+// Turn takes on a new leader of the own replica at once: what waits for the old one is given up, and those that pull from
+// here are told.
+func (s *Spread) Turn() {
+	if leader := s.opt.Root.LeaderAddr(); leader.IsValid() {
+		s.lead(leader, nil)
+	}
+	s.mu.Lock()
+	if s.stop != nil {
+		s.stop()
+	}
+	s.mu.Unlock()
+	s.Wake()
+}
+
 // Wake lets the leader take in and spread what was just committed, without waiting for the next proof.
 func (s *Spread) Wake() {
 	select {
@@ -252,8 +274,11 @@
 
 // pull asks one parent for news and reports whether it could prove them.
 func (s *Spread) pull(ctx context.Context, from netip.AddrPort) bool {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	now := clock.Now()
 	s.mu.Lock()
+	s.stop = stop
 	least, count := s.children.Least(now, s.View().Version)
 	p := memb.Pull{
 		Name: s.opt.Self.Name, Boot: s.opt.Self.Boot, Cluster: s.cluster,
@@ -407,15 +432,18 @@
 	}
 }
 
-// Serve answers a child's pull: at once when there is something newer, else when the proof is renewed.
+// Serve answers a child's pull: at once when there is something newer or the own proof is old, so that the child turns to
+// another parent; else when the proof is renewed.
 func (s *Spread) Serve(ctx context.Context, p memb.Pull) (memb.News, error) {
 	arrived := clock.Now()
 	s.mu.Lock()
 	s.children.Seen(arrived, p)
 	news := s.news
+	moment, ok := s.proof.Moment()
+	current := ok && arrived.Sub(moment) < stale
 	newer := s.view.Load().Version > p.Version
 	s.mu.Unlock()
-	if !newer {
+	if !newer && current {
 		hold := time.NewTimer(memb.Hold)
 		defer hold.Stop()
 		select {
