router, egress: answer every request that was read while stopping; deadlines by elapsed time

Ruled out: the balancer (the machine was out of rotation), the endpoints. Change: idle connections are closed by their read deadline and the listener by itself; deadlines are set from the time left.

--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -49,12 +49,12 @@
 	}
 )
 
-// Start sends a request on a connection. Whatever it returns, the call must be ended with Keep or Drop.
-// When the context ends, the connection breaks.
-func (p *Pools) Start(ctx context.Context, c *Conn, q *Request, deadline time.Time) (*Call, error) {
+// Start sends a request on a connection, which breaks after left. Whatever it returns, the call must be ended with Keep or
+// Drop. When the context ends, the connection breaks too.
+func (p *Pools) Start(ctx context.Context, c *Conn, q *Request, left time.Duration) (*Call, error) {
 	k := &Call{conn: c, pools: p, req: q, written: make(chan error, 1)}
 	k.stop = context.AfterFunc(ctx, func() { _ = c.TCPConn.Close() })
-	if err := c.SetDeadline(deadline); err != nil {
+	if err := c.SetDeadline(time.Now().Add(left)); err != nil {
 		return k, errors.Join(ErrUnsent, fault.At("set deadline", c.dest.Addr.String(), err))
 	}
 	head := q.head()
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -163,7 +163,7 @@
 	q.p.opt.Dialect.Forward(h, q.sending(c, after))
 	call, err := q.p.pools.Start(ctx, conn, &egress.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
-	}, q.until)
+	}, q.until.Sub(q.p.opt.Now()))
 	if errors.Is(err, egress.ErrUnsent) {
 		call.Drop()
 		return nil, err
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,6 +75,7 @@
 		picker  *picker.Picker
 		proxy   *proxy.Proxy
 		callers *http.Server
+		idle    *idleConns
 		peers   *http.Server
 		apps    []*fiber.App
 		lists   []served
@@ -224,8 +225,9 @@
 		Zone: r.self.Zone, Dialect: wire.Dialect(), View: r.spread.View, Fresh: r.spread.Fresh, Chooser: r.picker, Share: r.share, Now: clock.Now,
 		Meter: r.meter, Log: r.log,
 	})
+	r.idle = newIdleConns()
 	r.callers = &http.Server{
-		Handler: r.proxy, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Handler: r.proxy, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ConnState: r.idle.note,
 		ErrorLog: zap.NewStdLog(r.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	app := newApp()
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -14,6 +14,8 @@
 	// lastPart is the part of the grace time after which requests are not waited for any longer.
 	lastPart   = 0.95
 	drainCheck = 20 * time.Millisecond
+	// lastAnswers is the time for answers to reach their callers before connections are closed.
+	lastAnswers = 100 * time.Millisecond
 	// closeTimeout bounds what is done after the last request.
 	closeTimeout = 300 * time.Millisecond
 )
@@ -53,12 +55,32 @@
 	r.log.Info("instance stops", zap.Int("requests", r.proxy.Busy()), zap.Duration("grace", grace))
 	time.Sleep(min(notice, grace/2))
 	r.proxy.Refuse()
-	ctx, cancel := context.WithTimeout(context.Background(), grace-time.Since(start))
-	defer cancel()
-	for r.proxy.Busy() > 0 && ctx.Err() == nil {
+	r.closeListener("callers")
+	for time.Since(start) < grace {
+		if err := r.idle.wind(time.Now()); err != nil {
+			r.log.Debug("idle connection not closed", zap.Error(err))
+		}
+		if r.proxy.Busy() == 0 {
+			break
+		}
 		time.Sleep(drainCheck)
 	}
-	if err := r.callers.Shutdown(ctx); err != nil {
-		r.log.Warn("requests cut off at the end of the grace time", zap.Int("requests", r.proxy.Busy()), zap.Error(err))
+	if n := r.proxy.Busy(); n > 0 {
+		r.log.Warn("requests cut off at the end of the grace time", zap.Int("requests", n))
+		return
+	}
+	// What has been answered last is still on its way.
+	time.Sleep(lastAnswers)
+}
+
+// closeListener ends the listener with a name; its connections stay open.
+func (r *Router) closeListener(name string) {
+	for _, s := range r.lists {
+		if s.name != name {
+			continue
+		}
+		if err := s.list.Close(); err != nil {
+			r.log.Warn("listener not closed", zap.String("name", name), zap.Error(err))
+		}
 	}
 }
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -29,7 +29,7 @@
 	// stale is the age of the own proof at which another parent is tried.
 	stale = 1200 * time.Millisecond
 	// homeEvery is the time after which the best parent is tried again.
-	homeEvery   = 5 * time.Second
+	homeEvery = 5 * time.Second
 	// pullTimeout is how long a parent that does not answer is waited for.
 	pullTimeout = memb.Hold + 300*time.Millisecond
 	retryPause  = 100 * time.Millisecond
