proxy, repl, conns: serve callers that come while an instance starts

Callers' last tries came while the entries started and were refused with a Retry-After that they could not use any more; elections waited 0.5 to 0.9 s and connections to machines that were still dark 1 s. Ruled out: the endpoints (idle meanwhile), the log (nothing lost). Change: a request waits for a third of its time, at most until 3 s after the start, for the first proven table; the first election comes within 0.3 s of a start; connections between instances are given up after 0.3 s.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -11,6 +11,8 @@
 
 const (
 	dialTimeout = time.Second
+	// sharedDial is the wait for a connection between instances, after which another instance is tried.
+	sharedDial  = 300 * time.Millisecond
 	idleTimeout = 20 * time.Second
 	// maxAge bounds the age of a pool, as what stands between two ends may forget old connections.
 	maxAge    = 5 * time.Minute
@@ -69,6 +71,7 @@
 func (p *Pool) fill(now time.Time) {
 	p.t, p.born = Transport(p.local), now
 	if p.http2 {
+		p.t.DialContext = dialer(p.local, sharedDial).DialContext
 		p.t.Protocols = protocols(false)
 	}
 	if p.count != nil {
@@ -78,18 +81,22 @@
 
 // Transport returns a transport with bounded dialing and idle time, that dials from a local address where that is valid.
 func Transport(local netip.Addr) *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
-	if local.IsValid() && !local.IsUnspecified() {
-		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
-	}
 	return &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         dialer(local, dialTimeout).DialContext,
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
 }
 
+func dialer(local netip.Addr, timeout time.Duration) *net.Dialer {
+	d := &net.Dialer{Timeout: timeout, KeepAlive: keepAlive}
+	if local.IsValid() && !local.IsUnspecified() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
+	}
+	return d
+}
+
 // Once returns a transport that uses a new connection for each request, so that none is ever sent twice by the library.
 func Once() *http.Transport {
 	t := Transport(netip.Addr{})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/meter"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/internal/retry"
 	"github.com/greengagewheel/greengagewheel/pkg/table"
@@ -25,6 +26,14 @@
 const (
 	// retrySoon is when to come back to an instance that is not ready, or to another one.
 	retrySoon = 300 * time.Millisecond
+	// retryStart is when to come back to an instance that has just started.
+	retryStart = time.Second
+	// startTime is how long an instance may take from its start until it has a proven table: an election and a few pulls.
+	startTime = 3 * time.Second
+	// startPart is the part of its time, one in startPart, that a request waits for an instance that starts.
+	startPart = 3
+	// startLook is the time between two looks whether an instance that starts is ready.
+	startLook = 20 * time.Millisecond
 	// maxBody bounds a body where the table sets no limit, in bytes.
 	maxBody = 4 << 20
 	// leastLeft is the time below which a request is not given to an endpoint, as no answer would come in time.
@@ -64,6 +73,7 @@
 		busy    atomic.Int64
 		leaving atomic.Bool
 		closing atomic.Bool
+		born    time.Time
 	}
 
 	// request is one request of a caller on its way.
@@ -102,7 +112,7 @@
 
 // New returns a proxy that serves nobody yet.
 func New(opt Options) *Proxy {
-	return &Proxy{opt: opt, pools: egress.New(), budgets: newBudgets()}
+	return &Proxy{opt: opt, pools: egress.New(), budgets: newBudgets(), born: opt.Now()}
 }
 
 // Busy returns the number of requests in progress.
@@ -164,11 +174,12 @@
 	if q.p.closing.Load() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", after: leastLeft}
 	}
+	q.awaitStart()
 	view := q.p.opt.View()
-	fresh := q.p.opt.Fresh(q.arrived)
+	fresh := q.p.opt.Fresh(q.p.opt.Now())
 	q.version = view.Table.Version()
 	if q.version == 0 {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no routing table", after: retrySoon}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no routing table", after: retryStart}
 	}
 	if q.route = view.Table.Route(q.r.Host, path(q.r)); q.route == nil {
 		return q.unknown(fresh, http.StatusNotFound, "no such route")
@@ -189,6 +200,30 @@
 	return q.read(view.Table.Limits().Body)
 }
 
+// awaitStart lets a request that comes while the instance starts wait for the table. It may be the caller's last try, and a
+// refusal would send it to instances that have just started too, when all were lost at once.
+func (q *request) awaitStart() {
+	until := startPatience(q.p.born, q.arrived, q.caller.Deadline)
+	for now := q.arrived; now.Before(until) && !q.gone(); now = q.p.opt.Now() {
+		if q.p.opt.View().Table.Version() > 0 && q.p.opt.Fresh(now) {
+			return
+		}
+		pace.Pause(q.r.Context(), startLook)
+	}
+}
+
+// startPatience returns until when a request waits for an instance that started at born.
+func startPatience(born, arrived time.Time, deadline time.Duration) time.Time {
+	until := born.Add(startTime)
+	if deadline <= 0 {
+		return until
+	}
+	if own := arrived.Add(deadline / startPart); own.Before(until) {
+		return own
+	}
+	return until
+}
+
 // identify finds the organisation that holds the caller's key.
 func (q *request) identify(view *ctrl.View, fresh bool) *refusal {
 	if q.route.Public || !view.Table.Keyed() {
--- a/internal/repl/core.go
+++ b/internal/repl/core.go
@@ -71,7 +71,7 @@
 	for _, e := range c.entries {
 		c.adopt(e)
 	}
-	c.rest(now)
+	c.deadline = now.Add(time.Duration(rng.Int64N(int64(firstElection))))
 	return c
 }
 
--- a/internal/repl/types.go
+++ b/internal/repl/types.go
@@ -15,6 +15,10 @@
 	// ElectionLongest is the longest such time.
 	ElectionLongest = 900 * time.Millisecond
 
+	// firstElection is the longest time after its start until a replica first asks whether it would be elected. Replicas that
+	// hear a leader refuse, so that this disturbs none.
+	firstElection = 300 * time.Millisecond
+
 	maxBatch      = 1024
 	maxBatchBytes = 1 << 20
 	snapRetry     = 2 * time.Second
