--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -12,6 +12,8 @@
 const (
 	// prefillRate is the number of prompt tokens that an engine reads in a second, until its answers tell otherwise.
 	prefillRate = 60_000
+	// others weighs the time for which reading a prompt delays the requests of others against the request's own.
+	others = 12.0
 	// baseDelay is the time to the first answer of an empty engine for an empty prompt.
 	baseDelay = 100 * time.Millisecond
 	// callDelay is the time that a plain service takes for a call, until its answers tell otherwise.
@@ -120,7 +122,7 @@
 // Place chooses the endpoint for a request and enters its run; false tells that no endpoint can take it.
 func (b *Board) Place(now time.Time, q Request) (Choice, bool) {
 	if l := b.runs[q.Run]; l != nil {
-		return l.choice(), true
+		return l.choice(l.runs[q.Run]), true
 	}
 	keys := chain(q.Parts)
 	var best *load
@@ -137,12 +139,13 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	b.enter(now, best, q, keys)
-	return best.choice(), true
+	return best.choice(b.enter(now, best, q, keys)), true
 }
 
-func (l *load) choice() Choice {
-	return Choice{ID: l.ep.ID, Addr: l.ep.Addr, Born: l.ep.Born, Zone: l.ep.Zone}
+func (l *load) choice(r *run) Choice {
+	return Choice{
+		ID: l.ep.ID, Addr: l.ep.Addr, Born: l.ep.Born, Zone: l.ep.Zone, Need: r.need, Expected: r.expected, Running: l.running(),
+	}
 }
 
 func avoided(avoid []string, id string) bool {
@@ -154,7 +157,7 @@
 	return false
 }
 
-func (b *Board) enter(now time.Time, l *load, q Request, keys []uint64) {
+func (b *Board) enter(now time.Time, l *load, q Request, keys []uint64) *run {
 	r := &run{q: q, need: l.need(&q, keys), began: now, expected: l.expect(now, &q, keys)}
 	l.runs[q.Run] = r
 	l.backlog += r.need
@@ -162,6 +165,7 @@
 	if l.cache != nil {
 		l.cache.touch(keys, q.Parts)
 	}
+	return r
 }
 
 // need returns the prompt tokens that an endpoint must likely read for a request.
@@ -189,6 +193,7 @@
 // cost returns what speaks against an endpoint, as a time.
 func (l *load) cost(now time.Time, q *Request, keys []uint64) time.Duration {
 	c := time.Duration(float64(l.expect(now, q, keys)) * l.slowness(now))
+	c += time.Duration(others * float64(l.need(q, keys)) / prefillRate * float64(time.Second))
 	if !l.engine {
 		c += time.Duration(l.running()) * callDelay / time.Duration(max(1, 4*l.slots))
 	}
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -53,12 +53,16 @@
 		Left     time.Duration `json:"left"`
 	}
 
-	// Choice is the endpoint for a request.
+	// Choice is the endpoint for a request, with the prompt tokens that it must likely read, the expected time to its first
+	// answer, and the number of requests that run there.
 	Choice struct {
-		ID   string         `json:"id"`
-		Addr netip.AddrPort `json:"addr"`
-		Born int64          `json:"born"`
-		Zone string         `json:"zone"`
+		ID       string         `json:"id"`
+		Addr     netip.AddrPort `json:"addr"`
+		Born     int64          `json:"born"`
+		Zone     string         `json:"zone"`
+		Need     int            `json:"need,omitempty"`
+		Expected time.Duration  `json:"expected"`
+		Running  int            `json:"running"`
 	}
 
 	// Event tells a board what became of a run: Start where an entry chose for itself, First at the first answer, or End.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -122,6 +122,7 @@
 		})
 		if err == nil {
 			q.log.Info("endpoint chosen", zap.String("run", q.run), zap.String("endpoint", c.ID), zap.Bool("shared", shared),
+				zap.Int("input", q.caller.Input), zap.Int("need", c.Need), zap.Int("running", c.Running), zap.Duration("expected", c.Expected),
 				zap.Int("try", q.tries), zap.Duration("waited", now.Sub(q.arrived)), zap.Duration("took", q.p.opt.Now().Sub(now)))
 			return c, true
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -99,6 +99,7 @@
 		avoid  []string
 		ran    bool
 		first  time.Duration
+		gap    time.Duration
 		events int
 	}
 
@@ -310,6 +311,6 @@
 		q.series.Outcome(strconv.Itoa(status))
 	}
 	q.log.Info("request ended", zap.String("outcome", outcome), zap.Int("status", status), zap.String("route", name),
-		zap.String("organisation", q.organisation()), zap.Int("tries", q.tries), zap.Duration("first", q.first), zap.Int("events", q.events),
+		zap.String("organisation", q.organisation()), zap.Int("tries", q.tries), zap.Duration("first", q.first), zap.Int("events", q.events), zap.Duration("gap", q.gap),
 		zap.Duration("took", took), zap.Uint64("table", q.version))
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -37,6 +37,7 @@
 	control *http.ResponseController
 	header  http.Header
 	began   bool
+	at      time.Time
 	last    int64
 	partial []byte
 }
@@ -226,6 +227,11 @@
 
 func (s *events) write(b []byte) error {
 	s.begin()
+	now := s.q.p.opt.Now()
+	if !s.at.IsZero() {
+		s.q.gap = max(s.q.gap, now.Sub(s.at))
+	}
+	s.at = now
 	if _, err := s.q.w.Write(b); err != nil {
 		return errors.Join(errCaller, err)
 	}
