picker, place, platform: learn the engines' caches after a takeover

Ruled out: recovery of the log (0.45 s after the first start). Change: the board asks each engine that is new to it what it has in its cache; parts are kept by their own ID. Test: TestTakeover (60 prompts, none read again; failed before).

--- a/internal/picker/desk.go
+++ b/internal/picker/desk.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/place"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
 )
 
 const (
 	tickEvery = 100 * time.Millisecond
 	maxEvents = 4096
+	// learnTimeout is how long an engine may take to tell what it has in its cache.
+	learnTimeout = time.Second
 )
 
 type (
@@ -34,12 +39,18 @@
 		Loads  []place.Summary `json:"loads,omitempty"`
 	}
 
+	// Engines asks model engines what they have in their prompt caches.
+	Engines interface {
+		Cached(ctx context.Context, addr netip.AddrPort) ([]place.Part, error)
+	}
+
 	// DeskOptions holds what a desk needs; Leads tells whether this instance leads the log.
 	DeskOptions struct {
-		View  func() *ctrl.View
-		Leads func() bool
-		Now   func() time.Time
-		Log   *zap.Logger
+		View    func() *ctrl.View
+		Leads   func() bool
+		Engines Engines
+		Now     func() time.Time
+		Log     *zap.Logger
 	}
 
 	// Desk places the requests of all entries where the log is led.
@@ -50,6 +61,7 @@
 		synced *ctrl.View
 		boots  map[string]string
 		leads  bool
+		wg     conc.WaitGroup
 	}
 )
 
@@ -100,11 +112,31 @@
 	}
 	if v := d.opt.View(); v != d.synced {
 		d.synced = v
-		d.board.Sync(v.Endpoints, v.Table)
+		d.learn(d.board.Sync(v.Endpoints, v.Table))
 	}
 	return true
 }
 
+// learn asks engines that are new to this board what they have in their caches, as they may have run for long.
+func (d *Desk) learn(engines []roster.Endpoint) {
+	board := d.board
+	for _, e := range engines {
+		d.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), learnTimeout)
+			defer cancel()
+			parts, err := d.opt.Engines.Cached(ctx, e.Addr)
+			if err != nil {
+				d.opt.Log.Warn("cache of engine not learned", zap.String("endpoint", e.ID), zap.Error(err))
+				return
+			}
+			d.mu.Lock()
+			board.Cached(e.ID, parts)
+			d.mu.Unlock()
+			d.opt.Log.Info("cache of engine learned", zap.String("endpoint", e.ID), zap.Int("parts", len(parts)))
+		})
+	}
+}
+
 // Heard notes that an endpoint was heard.
 func (d *Desk) Heard(id string) {
 	d.mu.Lock()
@@ -121,6 +153,7 @@
 			d.board.Tick(d.opt.Now())
 		}
 	})
+	d.wg.Wait()
 }
 
 // Check returns an error for an ask that no entry sends.
--- /dev/null
+++ b/internal/picker/desk_test.go
@@ -0,0 +1,76 @@
+package picker
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/place"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
+	"github.com/greengagewheel/greengagewheel/pkg/table"
+)
+
+// caches are engines that tell what they have in their caches, by address.
+type caches map[netip.AddrPort][]place.Part
+
+func (c caches) Cached(_ context.Context, addr netip.AddrPort) ([]place.Part, error) {
+	return c[addr], nil
+}
+
+// service is a view of n engines of one service.
+func service(n int) *ctrl.View {
+	v := &ctrl.View{Endpoints: map[string]roster.Endpoint{}, Table: table.New(&table.Table{
+		Version: 1, Services: []table.Service{{Name: "s", Engine: &table.Engine{Slots: 64, Tokens: 500_000, Stride: 3}}},
+	})}
+	for i := range n {
+		id := fmt.Sprint("e", i)
+		v.Endpoints[id] = roster.Endpoint{ID: id, Service: "s", Zone: "a", State: roster.Ready, Addr: addr(i)}
+	}
+	return v
+}
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+}
+
+// TestTakeover plays a lost leader: its successor has seen nothing placed, and all that waited comes at once.
+func TestTakeover(t *testing.T) {
+	Convey("a new leader sends prompts where they are cached, though it has not seen them placed", t, func() {
+		const engines, prompts, size = 6, 60, 13_000
+		view, held := service(engines), caches{}
+		for p := range prompts {
+			held[addr(p%engines)] = append(held[addr(p%engines)], place.Part{ID: uint64(p + 1), Tokens: size})
+		}
+		d := NewDesk(DeskOptions{
+			View: func() *ctrl.View { return view }, Leads: func() bool { return true }, Engines: held, Now: time.Now, Log: zap.NewNop(),
+		})
+		_, err := d.Serve(context.Background(), Ask{Entry: "x", Boot: "1"})
+		So(err, ShouldBeNil)
+		d.wg.Wait()
+		need := 0
+		for p := range prompts {
+			r, err := d.Serve(context.Background(), Ask{Entry: "x", Boot: "1", Request: &place.Request{
+				Run: fmt.Sprint(p), Service: "s", Zone: "a", Input: size + 100, Target: time.Second, Left: 10 * time.Second,
+				Parts: []place.Part{{ID: uint64(p + 1), Tokens: size}, {ID: uint64(1000 + p), Tokens: 100}},
+			}})
+			So(err, ShouldBeNil)
+			So(r.Found, ShouldBeTrue)
+			need += r.Choice.Need
+		}
+		So(need, ShouldEqual, prompts*100)
+	})
+	Convey("an instance that does not lead places nothing", t, func() {
+		d := NewDesk(DeskOptions{
+			View: func() *ctrl.View { return service(1) }, Leads: func() bool { return false }, Now: time.Now, Log: zap.NewNop(),
+		})
+		r, err := d.Serve(context.Background(), Ask{Entry: "x", Boot: "1", Request: &place.Request{Run: "1", Service: "s"}})
+		So(err, ShouldBeNil)
+		So(r.Leads, ShouldBeFalse)
+	})
+}
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -81,8 +81,8 @@
 	return &Board{loads: map[string]*load{}, services: map[string][]*load{}, runs: map[string]*load{}}
 }
 
-// Sync makes the board's endpoints those given, of the services of a table.
-func (b *Board) Sync(eps map[string]roster.Endpoint, t *table.Index) {
+// Sync makes the board's endpoints those given, of the services of a table, and returns the engines that are new.
+func (b *Board) Sync(eps map[string]roster.Endpoint, t *table.Index) (engines []roster.Endpoint) {
 	for id, l := range b.loads {
 		if e, ok := eps[id]; !ok || e.Born != l.ep.Born || e.Addr != l.ep.Addr {
 			b.drop(l)
@@ -100,6 +100,7 @@
 			l.engine = true
 			if l.cache == nil {
 				l.cache = newCache(s.Engine.Tokens)
+				engines = append(engines, e)
 			}
 			if s.Engine.Slots > 0 {
 				l.slots = s.Engine.Slots
@@ -110,6 +111,7 @@
 	for _, ls := range b.services {
 		sort.Slice(ls, func(i, j int) bool { return ls[i].ep.ID < ls[j].ep.ID })
 	}
+	return engines
 }
 
 func (b *Board) drop(l *load) {
@@ -124,14 +126,13 @@
 	if l := b.runs[q.Run]; l != nil {
 		return l.choice(l.runs[q.Run]), true
 	}
-	keys := chain(q.Parts)
 	var best *load
 	var bestCost time.Duration
 	for _, l := range b.services[q.Service] {
 		if l.ep.State != roster.Ready || avoided(q.Avoid, l.ep.ID) {
 			continue
 		}
-		cost := l.cost(now, &q, keys)
+		cost := l.cost(now, &q)
 		if best == nil || cost < bestCost {
 			best, bestCost = l, cost
 		}
@@ -139,7 +140,7 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return best.choice(b.enter(now, best, q, keys)), true
+	return best.choice(b.enter(now, best, q)), true
 }
 
 func (l *load) choice(r *run) Choice {
@@ -157,32 +158,32 @@
 	return false
 }
 
-func (b *Board) enter(now time.Time, l *load, q Request, keys []uint64) *run {
-	r := &run{q: q, need: l.need(&q, keys), began: now, expected: l.expect(now, &q, keys)}
+func (b *Board) enter(now time.Time, l *load, q Request) *run {
+	r := &run{q: q, need: l.need(&q), began: now, expected: l.expect(&q)}
 	l.runs[q.Run] = r
 	l.backlog += r.need
 	b.runs[q.Run] = l
 	if l.cache != nil {
-		l.cache.touch(keys, q.Parts)
+		l.cache.touch(q.Parts)
 	}
 	return r
 }
 
 // need returns the prompt tokens that an endpoint must likely read for a request.
-func (l *load) need(q *Request, keys []uint64) int {
+func (l *load) need(q *Request) int {
 	if l.cache == nil {
 		return 0
 	}
-	return max(0, q.Input-l.cache.hit(keys, q.Parts))
+	return max(0, q.Input-l.cache.hit(q.Parts))
 }
 
 // expect returns the time to the first answer of a request at an endpoint that is as fast as it should be.
-func (l *load) expect(_ time.Time, q *Request, keys []uint64) time.Duration {
+func (l *load) expect(q *Request) time.Duration {
 	if !l.engine {
 		waiting := max(0, l.running()-l.slots+1)
 		return callDelay + callDelay*time.Duration(waiting)/time.Duration(max(1, l.slots))
 	}
-	tokens := l.backlog + l.elsewhere.Backlog + l.need(q, keys)
+	tokens := l.backlog + l.elsewhere.Backlog + l.need(q)
 	return baseDelay + time.Duration(float64(tokens)/prefillRate*float64(time.Second)) + time.Duration(l.running())*perRun
 }
 
@@ -191,9 +192,9 @@
 }
 
 // cost returns what speaks against an endpoint, as a time.
-func (l *load) cost(now time.Time, q *Request, keys []uint64) time.Duration {
-	c := time.Duration(float64(l.expect(now, q, keys)) * l.slowness(now))
-	c += time.Duration(others * float64(l.need(q, keys)) / prefillRate * float64(time.Second))
+func (l *load) cost(now time.Time, q *Request) time.Duration {
+	c := time.Duration(float64(l.expect(q)) * l.slowness(now))
+	c += time.Duration(others * float64(l.need(q)) / prefillRate * float64(time.Second))
 	if !l.engine {
 		c += time.Duration(l.running()) * callDelay / time.Duration(max(1, 4*l.slots))
 	}
@@ -226,7 +227,7 @@
 	if e.Start != nil {
 		b.Cancel(e.Run)
 		if l := b.loads[e.At]; l != nil {
-			b.enter(now, l, *e.Start, chain(e.Start.Parts))
+			b.enter(now, l, *e.Start)
 		}
 	}
 	l := b.runs[e.Run]
@@ -300,6 +301,17 @@
 	}
 }
 
+// Cached enters what an engine says that it has in its prompt cache, the part used last at the end.
+func (b *Board) Cached(id string, parts []Part) {
+	l := b.loads[id]
+	if l == nil || l.cache == nil {
+		return
+	}
+	for _, p := range parts {
+		l.cache.touch([]Part{p})
+	}
+}
+
 // Heard notes that an endpoint was heard after its failures, so that a restarted one is used again.
 func (b *Board) Heard(now time.Time, id string) {
 	if l := b.loads[id]; l != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -52,6 +52,7 @@
 	// Wire is how callers, operators and the balancer speak.
 	Wire interface {
 		Dialect() proxy.Dialect
+		Engines() picker.Engines
 		Operators(app *fiber.App, c Control)
 		Balancer(app *fiber.App, ready func() error)
 	}
@@ -109,7 +110,7 @@
 	if err := r.openGroup(&c); err != nil {
 		return nil, err
 	}
-	r.assemble(&c)
+	r.assemble(&c, wire)
 	if c.Listen.Callers.IsValid() {
 		r.serveCallers(&c, wire)
 	}
@@ -178,7 +179,7 @@
 	return out
 }
 
-func (r *Router) assemble(c *conf.Conf) {
+func (r *Router) assemble(c *conf.Conf, wire Wire) {
 	opt := spread.Options{Self: r.self, Seeds: r.seeds, Direct: true, Bound: c.Fresh.Bound.Std(), Links: r.links, Log: r.log}
 	if r.group != nil {
 		opt.Root = root{r.group, r.machine}
@@ -190,7 +191,9 @@
 		r.server = quorum.NewServer(r.group, r.machine, r.spread.Least)
 		r.machine.OnChange(r.spread.Wake)
 		r.group.OnLeader(r.spread.Turn)
-		r.desk = picker.NewDesk(picker.DeskOptions{View: r.spread.View, Leads: r.leads, Now: clock.Now, Log: r.log})
+		r.desk = picker.NewDesk(picker.DeskOptions{
+			View: r.spread.View, Leads: r.leads, Engines: wire.Engines(), Now: clock.Now, Log: r.log,
+		})
 		r.control = newControl(r, c)
 	}
 }
