proxy: give up lost answers of what may be repeated

Ruled out: placement (the same endpoints served others meanwhile). Change: the first answer is waited for by the target and the expected time, the next event by the route's pause; failures of such streams are tried elsewhere.

--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -124,6 +124,11 @@
 	return nil, fault.New("read answer", k.conn.dest.Addr.String(), "the answers belong to other requests")
 }
 
+// Await bounds the wait for the next bytes of the answer.
+func (k *Call) Await(d time.Duration) error {
+	return k.conn.SetReadDeadline(time.Now().Add(d))
+}
+
 // Reused reports whether the call went over a kept connection.
 func (k *Call) Reused() bool {
 	return k.conn.used
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -25,6 +26,12 @@
 	noEndpointPause = 50 * time.Millisecond
 	// noEndpointPart is the part of a request's target for which an endpoint is waited for, one in noEndpointPart.
 	noEndpointPart = 8
+	// A first answer is waited for during a part of the target, in percent, or so many times the expected time, whichever is
+	// longer. Calls are short and may still be on time elsewhere; a stream that starts anew reads its prompt once more.
+	callPercent   = 50
+	callFactor    = 3
+	streamPercent = 150
+	streamFactor  = 6
 	// retryFull is when to come back to endpoints that are full, or that none is there.
 	retryFull = 500 * time.Millisecond
 )
@@ -180,6 +187,9 @@
 		return q.unsent(c, err)
 	}
 	q.sent++
+	if err == nil {
+		err = call.Await(q.firstPatience(began, c.Expected))
+	}
 	if err != nil {
 		return q.broken(c, call, err)
 	}
@@ -197,6 +207,9 @@
 		return q.broken(c, call, errForeign)
 	}
 	q.ran = true
+	if err := call.Await(q.until.Sub(q.p.opt.Now())); err != nil {
+		return q.broken(c, call, err)
+	}
 	if q.route.Kind == table.Stream && resp.StatusCode == http.StatusOK {
 		return q.stream(c, call, resp, ans, began)
 	}
@@ -204,6 +217,29 @@
 	return q.whole(c, call, resp, ans)
 }
 
+// repeatable reports whether the request may run more than once.
+func (q *request) repeatable() bool {
+	return q.route.Kind == table.Repeat || q.route.Kind == table.Stream && q.route.Resume
+}
+
+// mayTryAgain reports whether the request may be given to another endpoint although this one may have run it.
+func (q *request) mayTryAgain() bool {
+	return q.repeatable() && q.sent < q.route.Attempts
+}
+
+// firstPatience returns how long the first answer of an endpoint is waited for. While another endpoint may be tried, that is a
+// few times what was expected; answers that are lost on their way never come.
+func (q *request) firstPatience(now time.Time, expected time.Duration) time.Duration {
+	left := q.until.Sub(now)
+	if !q.mayTryAgain() {
+		return left
+	}
+	if q.route.Kind == table.Stream {
+		return min(left, max(q.route.Target*streamPercent/100, streamFactor*expected))
+	}
+	return min(left, max(q.route.Target*callPercent/100, callFactor*expected))
+}
+
 var errForeign = errors.New("the answer is not one that the endpoint made for this request")
 
 // answer reads the head of the answer that belongs to the request.
@@ -246,18 +282,23 @@
 		q.p.opt.Chooser.End(q.run, place.Left)
 		q.end("caller left", 0)
 		return next{done: true}
-	case !now.Before(q.until):
+	case !now.Before(q.until), isTimeout(err):
 		o, f = place.Silent, &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}
 	case errors.Is(err, errForeign):
 		o = place.Failed
 	}
 	q.p.opt.Chooser.End(q.run, o)
-	again := q.route.Kind == table.Repeat && q.sent < q.route.Attempts
+	again := q.mayTryAgain()
 	q.log.Warn("endpoint failed", zap.String("run", q.run), zap.String("endpoint", c.ID), zap.Bool("reused", call.Reused()),
 		zap.Bool("again", again), zap.Error(err))
 	return next{again: again, refusal: f}
 }
 
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
 // whole passes an answer on once all of it is there, or as it comes where it is large.
 func (q *request) whole(c place.Choice, call *egress.Call, resp *http.Response, ans Answer) next {
 	if resp.ContentLength > wholeAnswer {
@@ -281,7 +322,7 @@
 		return next{done: true}
 	}
 	q.p.opt.Chooser.End(q.run, place.Failed)
-	again := q.route.Kind == table.Repeat && q.sent < q.route.Attempts
+	again := q.mayTryAgain()
 	q.log.Info("endpoint answered with a failure", zap.String("run", q.run), zap.String("endpoint", c.ID), zap.Int("status", s.status),
 		zap.Bool("again", again))
 	if promise(s.status) {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -18,6 +18,9 @@
 const (
 	// streamBuffer is the size of a read of a stream, in bytes.
 	streamBuffer = 8 << 10
+	// gapFactor and leastGap bound the wait for the next event of a stream that may be resumed.
+	gapFactor = 4
+	leastGap  = 1200 * time.Millisecond
 	// maxEvent is the largest event of a stream, in bytes.
 	maxEvent = 1 << 20
 )
@@ -46,7 +49,9 @@
 func (q *request) stream(c place.Choice, call *egress.Call, resp *http.Response, ans Answer, began time.Time) next {
 	s := &events{q: q, control: http.NewResponseController(q.w), header: endToEnd(resp.Header), last: -1}
 	for {
-		err := s.relay(resp.Body, func() { q.p.opt.Chooser.First(q.run, q.p.opt.Now().Sub(began)) })
+		err := s.relay(call, resp.Body, q.firstPatience(began, c.Expected), func() {
+			q.p.opt.Chooser.First(q.run, q.p.opt.Now().Sub(began))
+		})
 		if err == nil {
 			s.begin()
 			call.Keep(q.p.opt.Now(), resp, egress.Idle(ans.Keep))
@@ -70,10 +75,20 @@
 	}
 }
 
+// gapPatience returns how long the next event is waited for: longer than any pause that is on time, but shorter than callers
+// wait, where another endpoint may go on.
+func (q *request) gapPatience() time.Duration {
+	left := q.until.Sub(q.p.opt.Now())
+	if !q.mayTryAgain() {
+		return left
+	}
+	return min(left, max(gapFactor*q.route.Gap, leastGap))
+}
+
 // mayResume reports whether the stream may go on at another endpoint.
 func (q *request) mayResume() bool {
 	now := q.p.opt.Now()
-	return q.route.Resume && q.sent < q.route.Attempts && q.tries < maxTries && q.until.Sub(now) > leastLeft && q.mayRepeat(now)
+	return q.route.Resume && q.mayTryAgain() && q.tries < maxTries && q.until.Sub(now) > leastLeft && q.mayRepeat(now)
 }
 
 // resume has another endpoint go on after an event.
@@ -132,13 +147,18 @@
 	s.q.w.WriteHeader(http.StatusOK)
 }
 
-// relay passes on whole events until the stream ends; first is called at its first event. A nil error tells that it is complete.
-func (s *events) relay(body io.Reader, first func()) error {
+// relay passes on whole events until the stream ends; first is called at its first event, which is waited for as long as
+// patience says. A nil error tells that it is complete.
+func (s *events) relay(call *egress.Call, body io.Reader, patience time.Duration, first func()) error {
 	s.partial = s.partial[:0]
 	buf := make([]byte, streamBuffer)
 	told := false
 	for {
+		if err := call.Await(patience); err != nil {
+			return err
+		}
 		n, err := body.Read(buf)
+		patience = s.q.gapPatience()
 		if n > 0 {
 			s.partial = append(s.partial, buf[:n]...)
 			if !told {
