place: count the bytes that a choice sends between zones

Ruled out: what instances speak to each other. Change: a choice in another zone counts by the request's body and answer.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -22,6 +22,10 @@
 	perRun = time.Millisecond
 	// otherZone is what an endpoint of another zone must be faster by: a trip there and back, and the price of the bytes.
 	otherZone = 15 * time.Millisecond
+	// zoneByte is what a byte between zones counts beside a faster answer.
+	zoneByte = 20 * time.Microsecond
+	// tokenBytes is the size of a generated token on the wire, with its part of the event around it.
+	tokenBytes = 20
 	// fullDelay is added for an endpoint whose slots are all taken.
 	fullDelay = time.Second
 	// troubleDelay is added for each failure in an endpoint's recent past.
@@ -202,7 +206,7 @@
 		c += fullDelay
 	}
 	if l.ep.Zone != q.Zone {
-		c += otherZone
+		c += otherZone + time.Duration(q.Bytes+tokenBytes*q.Output)*zoneByte
 	}
 	return c + time.Duration((l.troubles(now)+float64(l.elsewhere.Trouble)/troubleUnit)*float64(troubleDelay))
 }
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -38,13 +38,15 @@
 		Tokens int    `json:"t"`
 	}
 
-	// Request is what a placement depends on. Run names the attempt at one endpoint; Input and Output are tokens.
+	// Request is what a placement depends on. Run names the attempt at one endpoint; Bytes is the
+	// size of its body, Input and Output are tokens.
 	Request struct {
 		Run      string        `json:"run"`
 		Service  string        `json:"service"`
 		Entry    string        `json:"entry"`
 		Zone     string        `json:"zone"`
 		Priority int           `json:"priority"`
+		Bytes    int           `json:"bytes,omitempty"`
 		Input    int           `json:"input,omitempty"`
 		Output   int           `json:"output,omitempty"`
 		Parts    []Part        `json:"parts,omitempty"`
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -124,7 +124,7 @@
 		now := q.p.opt.Now()
 		q.run = q.caller.ID + "/" + strconv.FormatUint(q.p.serial.Add(1), 36)
 		c, shared, err := q.p.opt.Chooser.Pick(q.r.Context(), place.Request{
-			Run: q.run, Service: q.service.Name, Priority: q.priority(), Input: q.caller.Input, Output: q.caller.Output,
+			Run: q.run, Service: q.service.Name, Priority: q.priority(), Bytes: len(q.body), Input: q.caller.Input, Output: q.caller.Output,
 			Parts: q.caller.Parts, Avoid: q.avoid, Target: q.route.Target, Left: q.until.Sub(now),
 		})
 		if err == nil {
