place, picker, proxy: long prompts wait for an engine with little to read; route priorities

All requests had the same priority at the engines, as that of their organisation replaced the route's. Ruled out: the asks (8 ms), caches (as guessed). Change: time to the first answer is learned by service as a line over the tokens to read; a prompt that takes above 60 ms waits at the leader while the engine that suits it has above 100 ms to read and 60% of its target allow it, those due first; the route's priority counts within the organisation's.

--- a/internal/picker/desk.go
+++ b/internal/picker/desk.go
@@ -17,24 +17,31 @@
 
 const (
 	tickEvery = 100 * time.Millisecond
+	// queueEvery is the time between two looks at requests that wait.
+	queueEvery = 20 * time.Millisecond
+	// hold is how long an ask waits with a run at most, so that an entry finds a lost leader in time.
+	hold      = 300 * time.Millisecond
 	maxEvents = 4096
 	// learnTimeout is how long an engine may take to tell what it has in its cache.
 	learnTimeout = time.Second
 )
 
 type (
-	// Ask asks for a placement, tells what became of earlier ones, or both. Boot is new at each start of the entry.
+	// Ask asks for a placement, tells what became of earlier ones, or both. Boot is new at each start of the entry. Await names
+	// a run that waits for an engine, and waits with it.
 	Ask struct {
 		Entry   string         `json:"entry"`
 		Boot    string         `json:"boot"`
 		Request *place.Request `json:"request,omitempty"`
+		Await   string         `json:"await,omitempty"`
 		Events  []place.Event  `json:"events,omitempty"`
 	}
 
-	// Reply answers an ask; with Leads unset this instance places nothing.
+	// Reply answers an ask; with Leads unset this instance places nothing. Queued tells that the request waits for an engine.
 	Reply struct {
 		Leads  bool            `json:"leads"`
 		Found  bool            `json:"found"`
+		Queued bool            `json:"queued,omitempty"`
 		Choice place.Choice    `json:"choice"`
 		Loads  []place.Summary `json:"loads,omitempty"`
 	}
@@ -61,20 +68,39 @@
 		synced *ctrl.View
 		boots  map[string]string
 		leads  bool
+		waits  map[string]chan place.Choice
 		wg     conc.WaitGroup
 	}
 )
 
 // NewDesk returns a desk with an empty board.
 func NewDesk(opt DeskOptions) *Desk {
-	return &Desk{opt: opt, board: place.New(), boots: map[string]string{}}
+	return &Desk{opt: opt, board: place.New(), boots: map[string]string{}, waits: map[string]chan place.Choice{}}
 }
 
 // Serve answers an ask.
-func (d *Desk) Serve(_ context.Context, a Ask) (Reply, error) {
-	now := d.opt.Now()
+func (d *Desk) Serve(ctx context.Context, a Ask) (Reply, error) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	r, granted := d.serve(a)
+	d.mu.Unlock()
+	if granted == nil {
+		return r, nil
+	}
+	t := time.NewTimer(hold)
+	defer t.Stop()
+	select {
+	case r.Choice = <-granted:
+		r.Found, r.Queued = true, false
+		d.forget(a.Await)
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return r, nil
+}
+
+// serve answers an ask; granted is where the choice for a run that waits will come. Its caller holds the lock.
+func (d *Desk) serve(a Ask) (r Reply, granted chan place.Choice) {
+	now := d.opt.Now()
 	if !d.lead() {
 		return Reply{}, nil
 	}
@@ -89,14 +115,40 @@
 	}
 	for _, e := range a.Events {
 		d.board.Take(now, e)
+		if e.End != 0 {
+			delete(d.waits, e.Run)
+		}
 	}
-	r := Reply{Leads: true}
-	if a.Request == nil {
-		return r, nil
+	r = Reply{Leads: true}
+	switch {
+	case a.Request != nil:
+		r.Choice, r.Queued, r.Found = d.board.Offer(now, *a.Request)
+		r.Loads = d.board.Summarize(now, a.Request.Service, a.Entry)
+		if r.Queued && d.waits[a.Request.Run] == nil {
+			d.waits[a.Request.Run] = make(chan place.Choice, 1)
+		}
+	case a.Await != "":
+		if granted = d.waits[a.Await]; granted != nil {
+			r.Queued = true
+		}
+	}
+	d.dispatch(now)
+	return r, granted
+}
+
+// dispatch hands out the choices for runs that need not wait longer; its caller holds the lock.
+func (d *Desk) dispatch(now time.Time) {
+	for _, g := range d.board.Dispatch(now) {
+		if to := d.waits[g.Run]; to != nil {
+			to <- g.Choice
+		}
 	}
-	r.Choice, r.Found = d.board.Place(now, *a.Request)
-	r.Loads = d.board.Summarize(now, a.Request.Service, a.Entry)
-	return r, nil
+}
+
+func (d *Desk) forget(run string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waits, run)
 }
 
 // lead brings the board up to date and reports whether this instance places requests; one that begins to starts empty.
@@ -104,7 +156,7 @@
 	leads := d.opt.Leads()
 	if leads != d.leads {
 		d.leads = leads
-		d.board, d.synced, d.boots = place.New(), nil, map[string]string{}
+		d.board, d.synced, d.boots, d.waits = place.New(), nil, map[string]string{}, map[string]chan place.Choice{}
 		d.opt.Log.Info("placing of requests changed hands", zap.Bool("here", leads))
 	}
 	if !leads {
@@ -146,13 +198,20 @@
 
 // Run keeps the board until the context ends.
 func (d *Desk) Run(ctx context.Context) {
-	pace.Every(ctx, tickEvery, func() {
+	wait := tickEvery
+	for pace.Pause(ctx, wait) {
+		wait = tickEvery
 		d.mu.Lock()
-		defer d.mu.Unlock()
 		if d.lead() {
-			d.board.Tick(d.opt.Now())
+			now := d.opt.Now()
+			d.board.Tick(now)
+			d.dispatch(now)
+			if d.board.Waiting() > 0 {
+				wait = queueEvery
+			}
 		}
-	})
+		d.mu.Unlock()
+	}
 	d.wg.Wait()
 }
 
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -10,12 +11,8 @@
 )
 
 const (
-	// prefillRate is the number of prompt tokens that an engine reads in a second, until its answers tell otherwise.
-	prefillRate = 60_000
 	// others weighs the time for which reading a prompt delays the requests of others against the request's own.
-	others = 12.0
-	// baseDelay is the time to the first answer of an empty engine for an empty prompt.
-	baseDelay = 100 * time.Millisecond
+	others = 9
 	// callDelay is the time that a plain service takes for a call, until its answers tell otherwise.
 	callDelay = 50 * time.Millisecond
 	// perRun is what each running request adds to the time of a new one on an engine.
@@ -53,17 +50,21 @@
 		need     int
 		began    time.Time
 		expected time.Duration
+		alone    bool
 		first    bool
 		late     bool
 	}
 
 	// load is what is known of one endpoint.
 	load struct {
-		ep        roster.Endpoint
-		engine    bool
-		slots     int
-		runs      map[string]*run
-		backlog   int
+		ep     roster.Endpoint
+		engine bool
+		slots  int
+		runs   map[string]*run
+		// unread are the runs whose prompts are not read yet, and free is when all of them are likely read.
+		unread    int
+		free      time.Time
+		speed     *speed
 		cache     *cache
 		trouble   float64
 		troubleAt time.Time
@@ -77,12 +78,14 @@
 		loads    map[string]*load
 		services map[string][]*load
 		runs     map[string]*load
+		speeds   map[string]*speed
+		queue    []waiting
 	}
 )
 
 // New returns a board without endpoints.
 func New() *Board {
-	return &Board{loads: map[string]*load{}, services: map[string][]*load{}, runs: map[string]*load{}}
+	return &Board{loads: map[string]*load{}, services: map[string][]*load{}, runs: map[string]*load{}, speeds: map[string]*speed{}}
 }
 
 // Sync makes the board's endpoints those given, of the services of a table, and returns the engines that are new.
@@ -102,6 +105,7 @@
 		l.ep, l.slots, l.engine = e, e.Slots, false
 		if s := t.Service(e.Service); s != nil && s.Engine != nil {
 			l.engine = true
+			l.speed = b.speedOf(e.Service)
 			if l.cache == nil {
 				l.cache = newCache(s.Engine.Tokens)
 				engines = append(engines, e)
@@ -118,6 +122,15 @@
 	return engines
 }
 
+func (b *Board) speedOf(service string) *speed {
+	s := b.speeds[service]
+	if s == nil {
+		s = newSpeed()
+		b.speeds[service] = s
+	}
+	return s
+}
+
 func (b *Board) drop(l *load) {
 	for id := range l.runs {
 		delete(b.runs, id)
@@ -130,17 +143,7 @@
 	if l := b.runs[q.Run]; l != nil {
 		return l.choice(l.runs[q.Run]), true
 	}
-	var best *load
-	var bestCost time.Duration
-	for _, l := range b.services[q.Service] {
-		if l.ep.State != roster.Ready || avoided(q.Avoid, l.ep.ID) {
-			continue
-		}
-		cost := l.cost(now, &q)
-		if best == nil || cost < bestCost {
-			best, bestCost = l, cost
-		}
-	}
+	best := b.best(now, &q)
 	if best == nil {
 		return Choice{}, false
 	}
@@ -153,26 +156,39 @@
 	}
 }
 
-func avoided(avoid []string, id string) bool {
-	for _, a := range avoid {
-		if a == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (b *Board) enter(now time.Time, l *load, q Request) *run {
-	r := &run{q: q, need: l.need(&q), began: now, expected: l.expect(&q)}
+	r := &run{q: q, need: l.need(&q), began: now, expected: l.expect(now, &q), alone: l.unread == 0}
 	l.runs[q.Run] = r
-	l.backlog += r.need
+	l.unread++
 	b.runs[q.Run] = l
 	if l.cache != nil {
+		l.free = now.Add(l.backlog(now) + l.speed.reading(r.need))
 		l.cache.touch(q.Parts)
 	}
 	return r
 }
 
+// backlog returns how long an engine likely still reads the prompts that it has.
+func (l *load) backlog(now time.Time) time.Duration {
+	return max(0, l.free.Sub(now))
+}
+
+// reread sets the backlog anew from the prompts that are not read yet.
+func (l *load) reread(now time.Time) {
+	if l.cache == nil {
+		return
+	}
+	tokens := 0
+	for _, r := range l.runs {
+		if !r.first {
+			tokens += r.need
+		}
+	}
+	if at := now.Add(l.speed.reading(tokens)); at.Before(l.free) || l.unread == 0 {
+		l.free = at
+	}
+}
+
 // need returns the prompt tokens that an endpoint must likely read for a request.
 func (l *load) need(q *Request) int {
 	if l.cache == nil {
@@ -182,13 +198,12 @@
 }
 
 // expect returns the time to the first answer of a request at an endpoint that is as fast as it should be.
-func (l *load) expect(q *Request) time.Duration {
+func (l *load) expect(now time.Time, q *Request) time.Duration {
 	if !l.engine {
 		waiting := max(0, l.running()-l.slots+1)
 		return callDelay + callDelay*time.Duration(waiting)/time.Duration(max(1, l.slots))
 	}
-	tokens := l.backlog + l.elsewhere.Backlog + l.need(q)
-	return baseDelay + time.Duration(float64(tokens)/prefillRate*float64(time.Second)) + time.Duration(l.running())*perRun
+	return l.speed.base + l.backlog(now) + l.elsewhere.Backlog + l.speed.reading(l.need(q)) + time.Duration(l.running())*perRun
 }
 
 func (l *load) running() int {
@@ -197,8 +212,10 @@
 
 // cost returns what speaks against an endpoint, as a time.
 func (l *load) cost(now time.Time, q *Request) time.Duration {
-	c := time.Duration(float64(l.expect(q)) * l.slowness(now))
-	c += time.Duration(others * float64(l.need(q)) / prefillRate * float64(time.Second))
+	c := time.Duration(float64(l.expect(now, q)) * l.slowness(now))
+	if l.engine {
+		c += others * l.speed.reading(l.need(q))
+	}
 	if !l.engine {
 		c += time.Duration(l.running()) * callDelay / time.Duration(max(1, 4*l.slots))
 	}
@@ -229,13 +246,14 @@
 // Take takes in what became of a run.
 func (b *Board) Take(now time.Time, e Event) {
 	if e.Start != nil {
-		b.Cancel(e.Run)
+		b.Cancel(now, e.Run)
 		if l := b.loads[e.At]; l != nil {
 			b.enter(now, l, *e.Start)
 		}
 	}
 	l := b.runs[e.Run]
 	if l == nil {
+		b.unqueue(e.Run)
 		return
 	}
 	r := l.runs[e.Run]
@@ -247,17 +265,20 @@
 	}
 }
 
-// Cancel forgets a run that was never sent.
-func (b *Board) Cancel(id string) {
+// Cancel forgets a request that waits or a run that was never sent.
+func (b *Board) Cancel(now time.Time, id string) {
+	b.unqueue(id)
 	l := b.runs[id]
 	if l == nil {
 		return
 	}
-	if r := l.runs[id]; !r.first {
-		l.backlog -= r.need
-	}
+	r := l.runs[id]
 	delete(l.runs, id)
 	delete(b.runs, id)
+	if !r.first {
+		l.unread--
+		l.reread(now)
+	}
 }
 
 // answered notes the first answer of a run.
@@ -266,7 +287,11 @@
 		return
 	}
 	r.first = true
-	l.backlog -= r.need
+	l.unread--
+	l.reread(now)
+	if r.alone && l.engine {
+		l.speed.observe(r.need, after)
+	}
 	if r.expected > 0 {
 		ratio := min(max(after.Seconds()/r.expected.Seconds(), 1), slowMost)
 		l.slow = l.slowness(now)*(1-slowWeight) + ratio*slowWeight
@@ -275,7 +300,7 @@
 }
 
 func (b *Board) end(now time.Time, l *load, r *run, o Outcome) {
-	b.Cancel(r.q.Run)
+	b.Cancel(now, r.q.Run)
 	switch o {
 	case Unreached, Misled:
 		l.addTrouble(now, 4)
@@ -290,6 +315,7 @@
 
 // Tick forgets runs whose end was never told, and notes endpoints that are long over the expected time of a first answer.
 func (b *Board) Tick(now time.Time) {
+	b.queue = slices.DeleteFunc(b.queue, func(w waiting) bool { return now.Sub(w.arrived) > w.q.Left+w.q.Waited+overtime })
 	for _, l := range b.loads {
 		for _, r := range l.runs {
 			age := now.Sub(r.began)
--- a/internal/place/summary.go
+++ b/internal/place/summary.go
@@ -19,8 +19,8 @@
 				continue
 			}
 			s.Running++
-			if !r.first {
-				s.Backlog += r.need
+			if !r.first && l.speed != nil {
+				s.Backlog += l.speed.reading(r.need)
 			}
 		}
 		out = append(out, s)
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -39,7 +39,7 @@
 	}
 
 	// Request is what a placement depends on. Run names the attempt at one endpoint; Bytes is the
-	// size of its body, Input and Output are tokens.
+	// size of its body, Input and Output are tokens. Waited is the time since it came, and Left that until its caller leaves.
 	Request struct {
 		Run      string        `json:"run"`
 		Service  string        `json:"service"`
@@ -52,6 +52,7 @@
 		Parts    []Part        `json:"parts,omitempty"`
 		Avoid    []string      `json:"avoid,omitempty"`
 		Target   time.Duration `json:"target"`
+		Waited   time.Duration `json:"waited,omitempty"`
 		Left     time.Duration `json:"left"`
 	}
 
@@ -78,10 +79,10 @@
 
 	// Summary is how loaded an endpoint is, for boards that see only a part of its requests.
 	Summary struct {
-		ID      string `json:"i"`
-		Running int    `json:"r"`
-		Backlog int    `json:"b,omitempty"`
-		Trouble int    `json:"t,omitempty"`
+		ID      string        `json:"i"`
+		Running int           `json:"r"`
+		Backlog time.Duration `json:"b,omitempty"`
+		Trouble int           `json:"t,omitempty"`
 	}
 )
 
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// routePriorities is the number of routes' priorities that are told apart within an organisation's.
+	routePriorities = 3
 	// maxTries bounds how often a request is sent or a connection for it is tried.
 	maxTries = 4
 	// wholeAnswer is the largest answer that is read whole before any of it is passed on, in bytes.
@@ -125,7 +127,7 @@
 		q.run = q.caller.ID + "/" + strconv.FormatUint(q.p.serial.Add(1), 36)
 		c, shared, err := q.p.opt.Chooser.Pick(q.r.Context(), place.Request{
 			Run: q.run, Service: q.service.Name, Priority: q.priority(), Bytes: len(q.body), Input: q.caller.Input, Output: q.caller.Output,
-			Parts: q.caller.Parts, Avoid: q.avoid, Target: q.route.Target, Left: q.until.Sub(now),
+			Parts: q.caller.Parts, Avoid: q.avoid, Target: q.route.Target, Waited: now.Sub(q.arrived), Left: q.until.Sub(now),
 		})
 		if err == nil {
 			q.log.Info("endpoint chosen", zap.String("run", q.run), zap.String("endpoint", c.ID), zap.Bool("shared", shared),
@@ -140,12 +142,13 @@
 	}
 }
 
-// priority returns the request's rank for engines; the organisation's goes before the route's.
+// priority returns the request's rank, 0 first: by the organisation's priority and then by the route's.
 func (q *request) priority() int {
+	org := 0
 	if q.org != nil {
-		return q.org.Priority
+		org = q.org.Priority
 	}
-	return q.route.Priority
+	return max(0, org)*routePriorities + min(max(0, q.route.Priority), routePriorities-1)
 }
 
 // sending returns what the router sets on the request.
