peer, picker: ask the leader over a second connection where a packet is lost

Ruled out: the leader's own time (asks take 8 ms). Change: an ask without an answer after 20 ms goes once more over another connection; the leader takes asks with the same number once. Test: TestTwice.

--- a/internal/picker/desk.go
+++ b/internal/picker/desk.go
@@ -22,16 +22,19 @@
 	// hold is how long an ask waits with a run at most, so that an entry finds a lost leader in time.
 	hold      = 300 * time.Millisecond
 	maxEvents = 4096
+	// keptAsks is the number of an entry's latest asks that are told apart.
+	keptAsks = 512
 	// learnTimeout is how long an engine may take to tell what it has in its cache.
 	learnTimeout = time.Second
 )
 
 type (
 	// Ask asks for a placement, tells what became of earlier ones, or both. Boot is new at each start of the entry. Await names
-	// a run that waits for an engine, and waits with it.
+	// a run that waits for an engine, and waits with it. Number tells the asks of a start apart, as each may come twice.
 	Ask struct {
 		Entry   string         `json:"entry"`
 		Boot    string         `json:"boot"`
+		Number  uint64         `json:"number"`
 		Request *place.Request `json:"request,omitempty"`
 		Await   string         `json:"await,omitempty"`
 		Events  []place.Event  `json:"events,omitempty"`
@@ -60,13 +63,19 @@
 		Log     *zap.Logger
 	}
 
+	// asker is one start of an entry with its latest asks, by number.
+	asker struct {
+		boot   string
+		latest [keptAsks]uint64
+	}
+
 	// Desk places the requests of all entries where the log is led.
 	Desk struct {
 		opt    DeskOptions
 		mu     sync.Mutex
 		board  *place.Board
 		synced *ctrl.View
-		boots  map[string]string
+		asked  map[string]*asker
 		leads  bool
 		waits  map[string]chan place.Choice
 		wg     conc.WaitGroup
@@ -75,7 +84,7 @@
 
 // NewDesk returns a desk with an empty board.
 func NewDesk(opt DeskOptions) *Desk {
-	return &Desk{opt: opt, board: place.New(), boots: map[string]string{}, waits: map[string]chan place.Choice{}}
+	return &Desk{opt: opt, board: place.New(), asked: map[string]*asker{}, waits: map[string]chan place.Choice{}}
 }
 
 // Serve answers an ask.
@@ -104,23 +113,14 @@
 	if !d.lead() {
 		return Reply{}, nil
 	}
-	if boot := d.boots[a.Entry]; boot != a.Boot {
-		d.boots[a.Entry] = a.Boot
-		if boot != "" {
-			d.board.Lost(now, a.Entry)
-		}
-	}
-	if len(a.Events) > maxEvents {
-		a.Events = a.Events[:maxEvents]
-	}
-	for _, e := range a.Events {
-		d.board.Take(now, e)
-		if e.End != 0 {
-			delete(d.waits, e.Run)
-		}
-	}
 	r = Reply{Leads: true}
+	repeated := d.repeated(now, &a)
+	if !repeated {
+		d.take(now, a.Events)
+	}
 	switch {
+	case a.Request != nil && repeated && !d.board.Knows(a.Request.Run):
+		// The first of the two came long ago: its run has ended, and its answer was taken.
 	case a.Request != nil:
 		r.Choice, r.Queued, r.Found = d.board.Offer(now, *a.Request)
 		r.Loads = d.board.Summarize(now, a.Request.Service, a.Entry)
@@ -136,6 +136,36 @@
 	return r, granted
 }
 
+// repeated notes an ask and reports whether it has come before. It forgets the runs of an entry that has started anew.
+func (d *Desk) repeated(now time.Time, a *Ask) bool {
+	k := d.asked[a.Entry]
+	if k == nil || k.boot != a.Boot {
+		if k != nil {
+			d.board.Lost(now, a.Entry)
+		}
+		k = &asker{boot: a.Boot}
+		d.asked[a.Entry] = k
+	}
+	last := &k.latest[a.Number%keptAsks]
+	if *last == a.Number && a.Number > 0 {
+		return true
+	}
+	*last = max(*last, a.Number)
+	return false
+}
+
+func (d *Desk) take(now time.Time, events []place.Event) {
+	if len(events) > maxEvents {
+		events = events[:maxEvents]
+	}
+	for _, e := range events {
+		d.board.Take(now, e)
+		if e.End != 0 {
+			delete(d.waits, e.Run)
+		}
+	}
+}
+
 // dispatch hands out the choices for runs that need not wait longer; its caller holds the lock.
 func (d *Desk) dispatch(now time.Time) {
 	for _, g := range d.board.Dispatch(now) {
@@ -156,7 +186,7 @@
 	leads := d.opt.Leads()
 	if leads != d.leads {
 		d.leads = leads
-		d.board, d.synced, d.boots, d.waits = place.New(), nil, map[string]string{}, map[string]chan place.Choice{}
+		d.board, d.synced, d.asked, d.waits = place.New(), nil, map[string]*asker{}, map[string]chan place.Choice{}
 		d.opt.Log.Info("placing of requests changed hands", zap.Bool("here", leads))
 	}
 	if !leads {
--- a/internal/picker/desk_test.go
+++ b/internal/picker/desk_test.go
@@ -74,3 +74,31 @@
 		So(r.Leads, ShouldBeFalse)
 	})
 }
+
+// TestTwice plays asks that come twice, the second time long after the run has ended.
+func TestTwice(t *testing.T) {
+	Convey("an ask that comes twice has one effect and the same answer", t, func() {
+		view := service(2)
+		d := NewDesk(DeskOptions{
+			View: func() *ctrl.View { return view }, Leads: func() bool { return true }, Engines: caches{}, Now: time.Now, Log: zap.NewNop(),
+		})
+		ask := func(a Ask) Reply {
+			a.Entry, a.Boot = "x", "1"
+			r, err := d.Serve(context.Background(), a)
+			So(err, ShouldBeNil)
+			return r
+		}
+		first := Ask{Number: 1, Request: &place.Request{Run: "r", Service: "s", Zone: "a", Target: time.Second, Left: time.Minute}}
+		r := ask(first)
+		So(r.Found, ShouldBeTrue)
+		So(ask(first).Choice.ID, ShouldEqual, r.Choice.ID)
+		started := Ask{Number: 2, Events: []place.Event{{Run: "l", At: "e0", Start: &place.Request{Run: "l", Service: "s", Left: time.Minute}}}}
+		ask(started)
+		So(d.board.Knows("l"), ShouldBeTrue)
+		ask(Ask{Number: 3, Events: []place.Event{{Run: "r", End: place.Done}, {Run: "l", End: place.Done}}})
+		ask(started)
+		So(ask(first).Found, ShouldBeFalse)
+		So(d.board.Knows("r"), ShouldBeFalse)
+		So(d.board.Knows("l"), ShouldBeFalse)
+	})
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,8 +17,10 @@
 )
 
 const (
-	// patience is how long the leader's answer is waited for: a few trips between zones.
-	patience = 40 * time.Millisecond
+	// askAgain is the wait for the leader's answer after which it is asked over another connection, as a packet may be lost.
+	askAgain = 20 * time.Millisecond
+	// patience is how long the leader's answer is waited for: a few trips between zones, twice.
+	patience = 45 * time.Millisecond
 	// callTimeout is how long an unanswered call is kept before its connection is given up.
 	callTimeout = time.Second
 	// missesToAway is the number of answers missed in a row after which the leader is left alone.
@@ -57,6 +60,7 @@
 		misses  int
 		awayTil time.Time
 		heardAt time.Time
+		asks    atomic.Uint64
 	}
 
 	// placed is a run that is under way.
@@ -158,9 +162,13 @@
 }
 
 func (p *Picker) call(to netip.AddrPort, a Ask) (Reply, error) {
-	a.Entry, a.Boot = p.opt.Self.Name, p.opt.Self.Boot
+	a.Entry, a.Boot, a.Number = p.opt.Self.Name, p.opt.Self.Boot, p.asks.Add(1)
 	var r Reply
-	err := p.opt.Links.Call(context.Background(), to, peer.Ask, callTimeout, a, &r)
+	again := askAgain
+	if a.Await != "" {
+		again += hold
+	}
+	err := p.opt.Links.Twice(context.Background(), to, peer.Ask, again, callTimeout, a, &r)
 	return r, err
 }
 
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -34,7 +34,7 @@
 // Offer chooses the endpoint for a request as Place does, or lets it wait where its prompt is long, each engine that suits it has
 // others to read, and its target allows it. Dispatch tells later where it goes.
 func (b *Board) Offer(now time.Time, q Request) (c Choice, queued, found bool) {
-	if slices.ContainsFunc(b.queue, func(w waiting) bool { return w.q.Run == q.Run }) {
+	if b.waits(q.Run) {
 		return c, true, true
 	}
 	l := b.best(now, &q)
@@ -84,6 +84,15 @@
 	return out
 }
 
+func (b *Board) waits(run string) bool {
+	return slices.ContainsFunc(b.queue, func(w waiting) bool { return w.q.Run == run })
+}
+
+// Knows reports whether a run waits or is under way.
+func (b *Board) Knows(run string) bool {
+	return b.runs[run] != nil || b.waits(run)
+}
+
 // Waiting returns the number of requests that wait.
 func (b *Board) Waiting() int {
 	return len(b.queue)
