place: fetch prompts' parts from other engines; no waiting at the leader

Cause: engines that had many shared parts in their caches were busy while others were idle, as reading 13,000 tokens anew costs more than waiting for seconds. Change: a choice may name another engine from which parts are fetched; how late answers are is judged against the service, not against the guess alone; backlog follows the prompt that is read. Reverted: long prompts waiting at the leader.

--- a/internal/picker/desk.go
+++ b/internal/picker/desk.go
@@ -17,10 +17,6 @@
 
 const (
 	tickEvery = 100 * time.Millisecond
-	// queueEvery is the time between two looks at requests that wait.
-	queueEvery = 20 * time.Millisecond
-	// hold is how long an ask waits with a run at most, so that an entry finds a lost leader in time.
-	hold      = 300 * time.Millisecond
 	maxEvents = 4096
 	// keptAsks is the number of an entry's latest asks that are told apart.
 	keptAsks = 512
@@ -29,22 +25,20 @@
 )
 
 type (
-	// Ask asks for a placement, tells what became of earlier ones, or both. Boot is new at each start of the entry. Await names
-	// a run that waits for an engine, and waits with it. Number tells the asks of a start apart, as each may come twice.
+	// Ask asks for a placement, tells what became of earlier ones, or both. Boot is new at each start of the entry, and
+	// Number tells the asks of a start apart, as each may come twice.
 	Ask struct {
 		Entry   string         `json:"entry"`
 		Boot    string         `json:"boot"`
 		Number  uint64         `json:"number"`
 		Request *place.Request `json:"request,omitempty"`
-		Await   string         `json:"await,omitempty"`
 		Events  []place.Event  `json:"events,omitempty"`
 	}
 
-	// Reply answers an ask; with Leads unset this instance places nothing. Queued tells that the request waits for an engine.
+	// Reply answers an ask; with Leads unset this instance places nothing.
 	Reply struct {
 		Leads  bool            `json:"leads"`
 		Found  bool            `json:"found"`
-		Queued bool            `json:"queued,omitempty"`
 		Choice place.Choice    `json:"choice"`
 		Loads  []place.Summary `json:"loads,omitempty"`
 	}
@@ -77,63 +71,37 @@
 		synced *ctrl.View
 		asked  map[string]*asker
 		leads  bool
-		waits  map[string]chan place.Choice
 		wg     conc.WaitGroup
 	}
 )
 
 // NewDesk returns a desk with an empty board.
 func NewDesk(opt DeskOptions) *Desk {
-	return &Desk{opt: opt, board: place.New(), asked: map[string]*asker{}, waits: map[string]chan place.Choice{}}
+	return &Desk{opt: opt, board: place.New(), asked: map[string]*asker{}}
 }
 
 // Serve answers an ask.
-func (d *Desk) Serve(ctx context.Context, a Ask) (Reply, error) {
-	d.mu.Lock()
-	r, granted := d.serve(a)
-	d.mu.Unlock()
-	if granted == nil {
-		return r, nil
-	}
-	t := time.NewTimer(hold)
-	defer t.Stop()
-	select {
-	case r.Choice = <-granted:
-		r.Found, r.Queued = true, false
-		d.forget(a.Await)
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	return r, nil
-}
-
-// serve answers an ask; granted is where the choice for a run that waits will come. Its caller holds the lock.
-func (d *Desk) serve(a Ask) (r Reply, granted chan place.Choice) {
+func (d *Desk) Serve(_ context.Context, a Ask) (Reply, error) {
 	now := d.opt.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if !d.lead() {
 		return Reply{}, nil
 	}
-	r = Reply{Leads: true}
+	r := Reply{Leads: true}
 	repeated := d.repeated(now, &a)
 	if !repeated {
 		d.take(now, a.Events)
 	}
 	switch {
-	case a.Request != nil && repeated && !d.board.Knows(a.Request.Run):
+	case a.Request == nil:
+	case repeated && !d.board.Knows(a.Request.Run):
 		// The first of the two came long ago: its run has ended, and its answer was taken.
-	case a.Request != nil:
-		r.Choice, r.Queued, r.Found = d.board.Offer(now, *a.Request)
+	default:
+		r.Choice, r.Found = d.board.Place(now, *a.Request)
 		r.Loads = d.board.Summarize(now, a.Request.Service, a.Entry)
-		if r.Queued && d.waits[a.Request.Run] == nil {
-			d.waits[a.Request.Run] = make(chan place.Choice, 1)
-		}
-	case a.Await != "":
-		if granted = d.waits[a.Await]; granted != nil {
-			r.Queued = true
-		}
 	}
-	d.dispatch(now)
-	return r, granted
+	return r, nil
 }
 
 // repeated notes an ask and reports whether it has come before. It forgets the runs of an entry that has started anew.
@@ -160,33 +128,15 @@
 	}
 	for _, e := range events {
 		d.board.Take(now, e)
-		if e.End != 0 {
-			delete(d.waits, e.Run)
-		}
 	}
 }
 
-// dispatch hands out the choices for runs that need not wait longer; its caller holds the lock.
-func (d *Desk) dispatch(now time.Time) {
-	for _, g := range d.board.Dispatch(now) {
-		if to := d.waits[g.Run]; to != nil {
-			to <- g.Choice
-		}
-	}
-}
-
-func (d *Desk) forget(run string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.waits, run)
-}
-
 // lead brings the board up to date and reports whether this instance places requests; one that begins to starts empty.
 func (d *Desk) lead() bool {
 	leads := d.opt.Leads()
 	if leads != d.leads {
 		d.leads = leads
-		d.board, d.synced, d.asked, d.waits = place.New(), nil, map[string]*asker{}, map[string]chan place.Choice{}
+		d.board, d.synced, d.asked = place.New(), nil, map[string]*asker{}
 		d.opt.Log.Info("placing of requests changed hands", zap.Bool("here", leads))
 	}
 	if !leads {
@@ -228,20 +178,13 @@
 
 // Run keeps the board until the context ends.
 func (d *Desk) Run(ctx context.Context) {
-	wait := tickEvery
-	for pace.Pause(ctx, wait) {
-		wait = tickEvery
+	pace.Every(ctx, tickEvery, func() {
 		d.mu.Lock()
+		defer d.mu.Unlock()
 		if d.lead() {
-			now := d.opt.Now()
-			d.board.Tick(now)
-			d.dispatch(now)
-			if d.board.Waiting() > 0 {
-				wait = queueEvery
-			}
+			d.board.Tick(d.opt.Now())
 		}
-		d.mu.Unlock()
-	}
+	})
 	d.wg.Wait()
 }
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -78,12 +78,7 @@
 // Pick chooses the endpoint for a request and notes it as sent there; shared tells that the leader chose.
 func (p *Picker) Pick(ctx context.Context, q place.Request) (c place.Choice, shared bool, err error) {
 	q.Entry, q.Zone = p.opt.Self.Name, p.opt.Self.Zone
-	r, ok := p.ask(ctx, Ask{Request: &q}, patience)
-	for ok && r.Queued {
-		loads := r.Loads
-		r, ok = p.ask(ctx, Ask{Await: q.Run}, hold+patience)
-		r.Loads = loads
-	}
+	r, ok := p.ask(ctx, q)
 	if ctx.Err() != nil {
 		p.End(q.Run, place.Left)
 		return c, false, ctx.Err()
@@ -131,16 +126,15 @@
 	p.board.Take(now, place.Event{Run: q.Run, Start: &q, At: r.Choice.ID})
 }
 
-// ask asks the leader, if it is known and has answered of late, and waits for its answer no longer than patience.
-func (p *Picker) ask(ctx context.Context, a Ask, patience time.Duration) (Reply, bool) {
+// ask asks the leader, if it is known and has answered of late.
+func (p *Picker) ask(ctx context.Context, q place.Request) (Reply, bool) {
 	to, events, ok := p.batch(true)
 	if !ok {
 		return Reply{}, false
 	}
-	a.Events = events
 	out := make(chan Reply, 1)
 	go func() {
-		r, err := p.call(to, a)
+		r, err := p.call(to, Ask{Request: &q, Events: events})
 		if err != nil {
 			p.requeue(events)
 			return
@@ -164,11 +158,7 @@
 func (p *Picker) call(to netip.AddrPort, a Ask) (Reply, error) {
 	a.Entry, a.Boot, a.Number = p.opt.Self.Name, p.opt.Self.Boot, p.asks.Add(1)
 	var r Reply
-	again := askAgain
-	if a.Await != "" {
-		again += hold
-	}
-	err := p.opt.Links.Twice(context.Background(), to, peer.Ask, again, callTimeout, a, &r)
+	err := p.opt.Links.Twice(context.Background(), to, peer.Ask, askAgain, callTimeout, a, &r)
 	return r, err
 }
 
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"slices"
 	"sort"
 	"time"
@@ -11,8 +12,13 @@
 )
 
 const (
-	// others weighs the time for which reading a prompt delays the requests of others against the request's own.
+	// others and moving weigh what reading a token, and fetching it from another engine, cost others and the operator against
+	// the request's own time, as times of reading it.
 	others = 9
+	moving = 5.0
+	// moveToken is the time that fetching a token takes, and leastMove the number of tokens below which none are fetched.
+	moveToken = 2 * time.Microsecond
+	leastMove = 64
 	// callDelay is the time that a plain service takes for a call, until its answers tell otherwise.
 	callDelay = 50 * time.Millisecond
 	// perRun is what each running request adds to the time of a new one on an engine.
@@ -48,6 +54,8 @@
 	run struct {
 		q        Request
 		need     int
+		moved    int
+		source   netip.AddrPort
 		began    time.Time
 		expected time.Duration
 		alone    bool
@@ -61,9 +69,9 @@
 		engine bool
 		slots  int
 		runs   map[string]*run
-		// unread are the runs whose prompts are not read yet, and free is when all of them are likely read.
-		unread    int
-		free      time.Time
+		// reading is the run whose prompt an engine likely reads now, since a moment; an engine reads one after the other.
+		reading   *run
+		since     time.Time
 		speed     *speed
 		cache     *cache
 		trouble   float64
@@ -79,7 +87,6 @@
 		services map[string][]*load
 		runs     map[string]*load
 		speeds   map[string]*speed
-		queue    []waiting
 	}
 )
 
@@ -102,10 +109,9 @@
 			l = &load{runs: map[string]*run{}, slow: 1}
 			b.loads[id] = l
 		}
-		l.ep, l.slots, l.engine = e, e.Slots, false
+		l.ep, l.slots, l.engine, l.speed = e, e.Slots, false, b.speedOf(e.Service)
 		if s := t.Service(e.Service); s != nil && s.Engine != nil {
 			l.engine = true
-			l.speed = b.speedOf(e.Service)
 			if l.cache == nil {
 				l.cache = newCache(s.Engine.Tokens)
 				engines = append(engines, e)
@@ -150,60 +156,107 @@
 	return best.choice(b.enter(now, best, q)), true
 }
 
+// best returns the endpoint that suits a request best, or nil.
+func (b *Board) best(now time.Time, q *Request) *load {
+	var best *load
+	var bestCost time.Duration
+	for _, l := range b.services[q.Service] {
+		if l.ep.State != roster.Ready || slices.Contains(q.Avoid, l.ep.ID) {
+			continue
+		}
+		cost := b.cost(now, l, q)
+		if best == nil || cost < bestCost {
+			best, bestCost = l, cost
+		}
+	}
+	return best
+}
+
 func (l *load) choice(r *run) Choice {
 	return Choice{
-		ID: l.ep.ID, Addr: l.ep.Addr, Born: l.ep.Born, Zone: l.ep.Zone, Need: r.need, Expected: r.expected, Running: l.running(),
+		ID: l.ep.ID, Addr: l.ep.Addr, Born: l.ep.Born, Zone: l.ep.Zone, Need: r.need, Moved: r.moved, Source: r.source,
+		Expected: r.expected, Running: l.running(),
 	}
 }
 
 func (b *Board) enter(now time.Time, l *load, q Request) *run {
-	r := &run{q: q, need: l.need(&q), began: now, expected: l.expect(now, &q), alone: l.unread == 0}
+	need, moved, source := b.work(l, &q)
+	r := &run{q: q, need: need, moved: moved, began: now, expected: l.expect(now, need, moved), alone: l.reading == nil}
+	if source != nil {
+		r.source = source.ep.Addr
+	}
 	l.runs[q.Run] = r
-	l.unread++
 	b.runs[q.Run] = l
 	if l.cache != nil {
-		l.free = now.Add(l.backlog(now) + l.speed.reading(r.need))
 		l.cache.touch(q.Parts)
 	}
+	if l.engine && l.reading == nil {
+		l.reading, l.since = r, now
+	}
 	return r
 }
 
-// backlog returns how long an engine likely still reads the prompts that it has.
+// backlog returns how long an engine likely reads the prompts that it has.
 func (l *load) backlog(now time.Time) time.Duration {
-	return max(0, l.free.Sub(now))
+	if l.reading == nil {
+		return 0
+	}
+	left := max(0, l.speed.reading(l.reading.need)-now.Sub(l.since))
+	for _, r := range l.runs {
+		if !r.first && r != l.reading {
+			left += l.speed.reading(r.need)
+		}
+	}
+	return left
 }
 
-// reread sets the backlog anew from the prompts that are not read yet.
-func (l *load) reread(now time.Time) {
-	if l.cache == nil {
-		return
-	}
-	tokens := 0
+// readOn takes the next prompt for the one that is read since a moment.
+func (l *load) readOn(since time.Time) {
+	l.reading, l.since = nil, since
 	for _, r := range l.runs {
-		if !r.first {
-			tokens += r.need
+		if !r.first && (l.reading == nil || r.before(l.reading)) {
+			l.reading = r
 		}
 	}
-	if at := now.Add(l.speed.reading(tokens)); at.Before(l.free) || l.unread == 0 {
-		l.free = at
+}
+
+// before reports whether a run's prompt is read before another one's.
+func (r *run) before(o *run) bool {
+	if !r.began.Equal(o.began) {
+		return r.began.Before(o.began)
 	}
+	return r.q.Run < o.q.Run
 }
 
-// need returns the prompt tokens that an endpoint must likely read for a request.
-func (l *load) need(q *Request) int {
+// work returns what an engine must do for a request's prompt: the tokens that it must read, and those that it can fetch from
+// another engine, source, which has them in its cache.
+func (b *Board) work(l *load, q *Request) (need, moved int, source *load) {
 	if l.cache == nil {
-		return 0
+		return 0, 0, nil
+	}
+	own := l.cache.hit(q.Parts)
+	most := own
+	for _, o := range b.services[q.Service] {
+		if o == l || o.cache == nil || o.ep.State != roster.Ready {
+			continue
+		}
+		if n := o.cache.hit(q.Parts); n > most {
+			most, source = n, o
+		}
 	}
-	return max(0, q.Input-l.cache.hit(q.Parts))
+	if most-own < leastMove {
+		most, source = own, nil
+	}
+	return max(0, q.Input-most), most - own, source
 }
 
 // expect returns the time to the first answer of a request at an endpoint that is as fast as it should be.
-func (l *load) expect(now time.Time, q *Request) time.Duration {
+func (l *load) expect(now time.Time, need, moved int) time.Duration {
 	if !l.engine {
 		waiting := max(0, l.running()-l.slots+1)
 		return callDelay + callDelay*time.Duration(waiting)/time.Duration(max(1, l.slots))
 	}
-	return l.speed.base + l.backlog(now) + l.elsewhere.Backlog + l.speed.reading(l.need(q)) + time.Duration(l.running())*perRun
+	return l.speed.base + l.backlog(now) + l.elsewhere.Backlog + l.speed.reading(need) + time.Duration(moved)*moveToken + time.Duration(l.running())*perRun
 }
 
 func (l *load) running() int {
@@ -211,12 +264,12 @@
 }
 
 // cost returns what speaks against an endpoint, as a time.
-func (l *load) cost(now time.Time, q *Request) time.Duration {
-	c := time.Duration(float64(l.expect(now, q)) * l.slowness(now))
+func (b *Board) cost(now time.Time, l *load, q *Request) time.Duration {
+	need, moved, _ := b.work(l, q)
+	c := time.Duration(float64(l.expect(now, need, moved)) * l.slowness(now))
 	if l.engine {
-		c += others * l.speed.reading(l.need(q))
-	}
-	if !l.engine {
+		c += others*l.speed.reading(need) + time.Duration(moving*float64(l.speed.reading(moved)))
+	} else {
 		c += time.Duration(l.running()) * callDelay / time.Duration(max(1, 4*l.slots))
 	}
 	if l.slots > 0 && l.running() >= l.slots {
@@ -246,14 +299,13 @@
 // Take takes in what became of a run.
 func (b *Board) Take(now time.Time, e Event) {
 	if e.Start != nil {
-		b.Cancel(now, e.Run)
+		b.Cancel(e.Run)
 		if l := b.loads[e.At]; l != nil {
 			b.enter(now, l, *e.Start)
 		}
 	}
 	l := b.runs[e.Run]
 	if l == nil {
-		b.unqueue(e.Run)
 		return
 	}
 	r := l.runs[e.Run]
@@ -265,9 +317,8 @@
 	}
 }
 
-// Cancel forgets a request that waits or a run that was never sent.
-func (b *Board) Cancel(now time.Time, id string) {
-	b.unqueue(id)
+// Cancel forgets a run that was never sent.
+func (b *Board) Cancel(id string) {
 	l := b.runs[id]
 	if l == nil {
 		return
@@ -275,9 +326,8 @@
 	r := l.runs[id]
 	delete(l.runs, id)
 	delete(b.runs, id)
-	if !r.first {
-		l.unread--
-		l.reread(now)
+	if r == l.reading {
+		l.readOn(l.since)
 	}
 }
 
@@ -287,20 +337,22 @@
 		return
 	}
 	r.first = true
-	l.unread--
-	l.reread(now)
-	if r.alone && l.engine {
-		l.speed.observe(r.need, after)
+	if l.engine {
+		// Its prompt was read a base time ago.
+		l.readOn(now.Add(-l.speed.base))
+		if r.alone {
+			l.speed.observe(r.need, after)
+		}
 	}
 	if r.expected > 0 {
-		ratio := min(max(after.Seconds()/r.expected.Seconds(), 1), slowMost)
+		ratio := min(max(l.speed.relative(after, r.expected), 1), slowMost)
 		l.slow = l.slowness(now)*(1-slowWeight) + ratio*slowWeight
 		l.slowAt = now
 	}
 }
 
 func (b *Board) end(now time.Time, l *load, r *run, o Outcome) {
-	b.Cancel(now, r.q.Run)
+	b.Cancel(r.q.Run)
 	switch o {
 	case Unreached, Misled:
 		l.addTrouble(now, 4)
@@ -315,7 +367,6 @@
 
 // Tick forgets runs whose end was never told, and notes endpoints that are long over the expected time of a first answer.
 func (b *Board) Tick(now time.Time) {
-	b.queue = slices.DeleteFunc(b.queue, func(w waiting) bool { return now.Sub(w.arrived) > w.q.Left+w.q.Waited+overtime })
 	for _, l := range b.loads {
 		for _, r := range l.runs {
 			age := now.Sub(r.began)
@@ -342,6 +393,11 @@
 	}
 }
 
+// Knows reports whether a run is under way.
+func (b *Board) Knows(run string) bool {
+	return b.runs[run] != nil
+}
+
 // Heard notes that an endpoint was heard after its failures, so that a restarted one is used again.
 func (b *Board) Heard(now time.Time, id string) {
 	if l := b.loads[id]; l != nil {
--- a/internal/place/load_test.go
+++ b/internal/place/load_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -15,41 +16,58 @@
 )
 
 const (
-	// The engines of the played load read so many tokens a second, one prompt after the other, and answer after a base time.
+	// The engines of the played load read so many tokens a second, one prompt after the other, and answer after a base time;
+	// a fetched token takes playedMove.
 	playedRate = 22_000
 	playedBase = 100 * time.Millisecond
+	playedMove = time.Microsecond
 	longTarget = 2500 * time.Millisecond
 	fastTarget = 400 * time.Millisecond
 )
 
-var dbg func(time.Duration, Request, Choice, *Board, map[string]time.Duration)
-
 type (
-	// played is a load of long prompts, which share leading parts, and short ones, on a set of engines.
+	// load is a number of requests a second: long ones, whose prompts share leading parts of so many things, and short ones.
 	played struct {
 		engines int
 		long    float64
 		short   float64
 		things  int
 		length  time.Duration
-		// queued lets long prompts wait at the board.
-		queued bool
+		// choose replaces the board's choice, for comparison.
+		choose func(b *Board, q *Request) string
 	}
 
-	// seen is what callers get: the parts on time, and the tokens read.
+	// seen is what callers get: the parts of each kind on time, and the tokens read.
 	seen struct {
 		short, long float64
 		read        int
 	}
 
+	// engine is one played engine: what waits to be read, and what is cached.
+	engine struct {
+		queue []Request
+		busy  bool
+		cache *cache
+	}
+
 	happening struct {
-		at  time.Duration
-		run string
-		do  func(now time.Time)
+		at time.Duration
+		do func(at time.Duration, now time.Time)
+	}
+
+	// stage is one play.
+	stage struct {
+		todo    []happening
+		board   *Board
+		engines map[string]*engine
+		arrived map[string]time.Duration
+		sent    map[string]time.Duration
+		source  map[string]string
+		seen    seen
 	}
 )
 
-func engines(n int) (map[string]roster.Endpoint, *table.Index) {
+func endpoints(n int) (map[string]roster.Endpoint, *table.Index) {
 	eps := map[string]roster.Endpoint{}
 	for i := range n {
 		id := fmt.Sprint("e", i)
@@ -60,110 +78,147 @@
 	return eps, table.New(&table.Table{Version: 1, Services: []table.Service{{Name: "s", Engine: &table.Engine{Slots: 64, Tokens: 500_000}}}})
 }
 
-// play has a board place the load on engines that read prompts in the order in which they come.
-func play(p played) seen {
+func (s *stage) add(at time.Duration, do func(at time.Duration, now time.Time)) {
+	i := sort.Search(len(s.todo), func(i int) bool { return s.todo[i].at > at })
+	s.todo = slices.Insert(s.todo, i, happening{at, do})
+}
+
+func (s *stage) run() {
 	start := time.Unix(1000, 0)
-	b := New()
-	eps, x := engines(p.engines)
-	b.Sync(eps, x)
-	rng := rand.New(rand.NewPCG(7, 7))
-	free := map[string]time.Duration{}
-	real := map[string]*cache{}
-	for id := range eps {
-		real[id] = newCache(500_000)
-	}
-	var todo []happening
-	add := func(h happening) {
-		at := sort.Search(len(todo), func(i int) bool { return todo[i].at > h.at })
-		todo = append(todo, happening{})
-		copy(todo[at+1:], todo[at:])
-		todo[at] = h
-	}
-	var out seen
-	var shorts, longs int
-	arrived := map[string]time.Duration{}
-	requests := map[string]Request{}
-	send := func(now time.Duration, run string, c Choice) {
-		if dbg != nil {
-			dbg(now, requests[run], c, b, free)
+	for len(s.todo) > 0 {
+		h := s.todo[0]
+		s.todo = s.todo[1:]
+		h.do(h.at, start.Add(h.at))
+	}
+}
+
+// send gives a request to an engine.
+func (s *stage) send(at time.Duration, q Request, id string) {
+	s.sent[q.Run] = at
+	e := s.engines[id]
+	e.queue = append(e.queue, q)
+	s.read(at, e)
+}
+
+// read has an engine read the next prompt, if it reads none.
+func (s *stage) read(at time.Duration, e *engine) {
+	if e.busy || len(e.queue) == 0 {
+		return
+	}
+	q := e.queue[0]
+	e.queue = e.queue[1:]
+	e.busy = true
+	hit := e.cache.hit(q.Parts)
+	took := time.Duration(0)
+	if from := s.source[q.Run]; from != "" {
+		if n := s.engines[from].cache.hit(q.Parts); n > hit {
+			took, hit = time.Duration(n-hit)*playedMove, n
 		}
-		q := requests[run]
-		need := q.Input - real[c.ID].hit(q.Parts)
-		real[c.ID].touch(q.Parts)
-		out.read += need
-		began := max(now, free[c.ID])
-		free[c.ID] = began + time.Duration(float64(need)/playedRate*float64(time.Second))
-		answer := free[c.ID] + playedBase
-		if answer-arrived[run] <= q.Target {
-			if q.Target == fastTarget {
-				out.short++
-			} else {
-				out.long++
-			}
+	}
+	need := q.Input - hit
+	s.seen.read += need
+	e.cache.touch(q.Parts)
+	done := at + took + time.Duration(float64(need)/playedRate*float64(time.Second))
+	s.add(done, func(at time.Duration, _ time.Time) {
+		e.busy = false
+		s.read(at, e)
+	})
+	answer := done + playedBase
+	if answer-s.arrived[q.Run] <= q.Target {
+		if q.Target == fastTarget {
+			s.seen.short++
+		} else {
+			s.seen.long++
 		}
-		add(happening{at: answer, do: func(at time.Time) { b.Take(at, Event{Run: run, First: answer - now}) }})
-		add(happening{at: answer + time.Second, do: func(at time.Time) { b.Take(at, Event{Run: run, End: Done}) }})
-	}
-	arrive := func(at time.Duration, q Request) {
-		arrived[q.Run], requests[q.Run] = at, q
-		add(happening{at: at, do: func(now time.Time) {
-			if !p.queued {
-				c, _ := b.Place(now, q)
-				send(at, q.Run, c)
-				return
-			}
-			if c, queued, _ := b.Offer(now, q); !queued {
-				send(at, q.Run, c)
-			}
-		}})
 	}
+	s.add(answer, func(at time.Duration, now time.Time) { s.board.Take(now, Event{Run: q.Run, First: at - s.sent[q.Run]}) })
+	s.add(answer+time.Second, func(_ time.Duration, now time.Time) { s.board.Take(now, Event{Run: q.Run, End: Done}) })
+}
+
+// play has a board place the load.
+func play(p played) seen {
+	eps, x := endpoints(p.engines)
+	s := &stage{
+		board: New(), engines: map[string]*engine{}, arrived: map[string]time.Duration{}, sent: map[string]time.Duration{}, source: map[string]string{},
+	}
+	s.board.Sync(eps, x)
+	byAddr := map[netip.AddrPort]string{}
+	for id, e := range eps {
+		s.engines[id] = &engine{cache: newCache(500_000)}
+		byAddr[e.Addr] = id
+	}
+	rng := rand.New(rand.NewPCG(7, 7))
+	var shorts, longs float64
 	for at, n := time.Duration(0), 0; at < p.length; n++ {
 		at += time.Duration(rng.ExpFloat64() / (p.long + p.short) * float64(time.Second))
-		run := fmt.Sprint(n)
+		q := Request{Run: fmt.Sprint(n), Service: "s", Zone: "a", Left: 12 * time.Second}
 		if rng.Float64()*(p.long+p.short) < p.short {
 			shorts++
-			arrive(at, Request{Run: run, Service: "s", Zone: "a", Input: 1200, Target: fastTarget, Left: 12 * time.Second})
-			continue
+			q.Input, q.Target = 1200, fastTarget
+		} else {
+			longs++
+			thing := rng.IntN(p.things)
+			q.Input, q.Target, q.Priority = 17_000, longTarget, 2
+			q.Parts = []Part{{ID: uint64(thing + 1), Tokens: 13_300}, {ID: uint64(100_000 + n), Tokens: 3_700}}
 		}
-		longs++
-		thing := rng.IntN(p.things)
-		arrive(at, Request{Run: run, Service: "s", Zone: "a", Input: 17_000, Target: longTarget, Left: 12 * time.Second, Parts: []Part{
-			{ID: uint64(thing + 1), Tokens: 13_300}, {ID: uint64(100_000 + n), Tokens: 3_700},
-		}})
-	}
-	for at := time.Duration(0); at < p.length+longTarget; at += 20 * time.Millisecond {
-		add(happening{at: at, do: func(now time.Time) { b.Tick(now) }})
-	}
-	for len(todo) > 0 {
-		h := todo[0]
-		todo = todo[1:]
-		h.do(start.Add(h.at))
-		for _, g := range b.Dispatch(start.Add(h.at)) {
-			send(h.at, g.Run, g.Choice)
+		s.arrived[q.Run] = at
+		s.add(at, func(at time.Duration, now time.Time) {
+			if p.choose != nil {
+				id := p.choose(s.board, &q)
+				s.board.Take(now, Event{Run: q.Run, Start: &q, At: id})
+				s.send(at, q, id)
+				return
+			}
+			c, _ := s.board.Place(now, q)
+			s.source[q.Run] = byAddr[c.Source]
+			s.send(at, q, c.ID)
+		})
+	}
+	s.run()
+	s.seen.short /= shorts
+	s.seen.long /= longs
+	return s.seen
+}
+
+// leastRunning chooses the endpoint that runs the fewest requests.
+func leastRunning(b *Board, q *Request) string {
+	best := b.services[q.Service][0]
+	for _, l := range b.services[q.Service] {
+		if l.running() < best.running() {
+			best = l
 		}
 	}
-	out.short /= float64(shorts)
-	out.long /= float64(longs)
-	return out
+	return best.ep.ID
+}
+
+// byPrefix chooses the endpoint by the first part of the prompt alone, as a hash would.
+func byPrefix(b *Board, q *Request) string {
+	if len(q.Parts) == 0 {
+		return leastRunning(b, q)
+	}
+	ls := b.services[q.Service]
+	return ls[int(q.Parts[0].ID*2654435761>>8)%len(ls)].ep.ID
 }
 
 // TestBurstOfLongPrompts plays twice the usual long prompts on caches that are empty at first.
 func TestBurstOfLongPrompts(t *testing.T) {
 	load := played{engines: 12, long: 30, short: 19, things: 66, length: 10 * time.Second}
-	Convey("short requests are on time in a burst of long prompts, and the long ones still are", t, func() {
-		at := play(load)
-		load.queued = true
-		waiting := play(load)
-		t.Logf("sent at once: %+v, waiting: %+v", at, waiting)
-		So(waiting.short, ShouldBeGreaterThan, at.short)
-		So(waiting.short, ShouldBeGreaterThan, 0.95)
-		So(waiting.long, ShouldBeGreaterThan, 0.95)
+	with := func(choose func(*Board, *Request) string) seen {
+		load.choose = choose
+		return play(load)
+	}
+	board, least, prefix := with(nil), with(leastRunning), with(byPrefix)
+	t.Logf("board %+v, least running %+v, by prefix %+v", board, least, prefix)
+	Convey("requests of both kinds are on time, at least as many as with simpler choices", t, func() {
+		So(board.short, ShouldBeGreaterThan, 0.9)
+		So(board.long, ShouldBeGreaterThan, 0.95)
+		So(board.short+board.long, ShouldBeGreaterThan, least.short+least.long)
+		So(board.short+board.long, ShouldBeGreaterThan, prefix.short+prefix.long)
 	})
-	Convey("prompts are read where their leading parts are cached, so that most parts are read once", t, func() {
-		load.queued = true
-		s := play(load)
+	Convey("shared parts are hardly read more than once", t, func() {
+		So(board.read, ShouldBeLessThan, least.read)
 		own := 19*10*1200 + 30*10*3700
-		So(s.read, ShouldBeLessThan, own+2*66*13_300)
+		So(board.read, ShouldBeLessThan, own+2*66*13_300)
 	})
 }
 
@@ -171,8 +226,7 @@
 func TestSlowEndpoint(t *testing.T) {
 	Convey("an endpoint that answers late gets less of the requests", t, func() {
 		b := New()
-		eps, x := engines(4)
-		b.Sync(eps, x)
+		b.Sync(endpoints(4))
 		now := time.Unix(1000, 0)
 		count := 0
 		for i := range 400 {
@@ -198,8 +252,7 @@
 func TestFailingEndpoint(t *testing.T) {
 	Convey("an endpoint that cannot be reached is left alone for a while, then tried again", t, func() {
 		b := New()
-		eps, x := engines(3)
-		b.Sync(eps, x)
+		b.Sync(endpoints(3))
 		now := time.Unix(1000, 0)
 		chosen := func(down bool) (n int) {
 			var running []string
@@ -230,3 +283,28 @@
 		So(chosen(false), ShouldBeGreaterThan, 0)
 	})
 }
+
+// TestFetch plays one thing that much of the traffic is about.
+func TestFetch(t *testing.T) {
+	Convey("parts that another engine has are fetched once its backlog is long, and not read again", t, func() {
+		b := New()
+		eps, x := endpoints(3)
+		b.Sync(eps, x)
+		now := time.Unix(1000, 0)
+		read, moved := 0, 0
+		for i := range 30 {
+			c, ok := b.Place(now, Request{
+				Run: fmt.Sprint(i), Service: "s", Zone: "a", Input: 17_000, Target: longTarget, Left: 12 * time.Second,
+				Parts: []Part{{ID: 1, Tokens: 13_300}, {ID: uint64(100 + i), Tokens: 3_700}},
+			})
+			So(ok, ShouldBeTrue)
+			read += c.Need
+			if moved += c.Moved; c.Moved > 0 {
+				So(c.Source.IsValid(), ShouldBeTrue)
+				So(c.Source, ShouldNotEqual, c.Addr)
+			}
+		}
+		So(read, ShouldEqual, 13_300+30*3_700)
+		So(moved, ShouldBeGreaterThanOrEqualTo, 13_300)
+	})
+}
--- a/internal/place/speed.go
+++ b/internal/place/speed.go
@@ -14,6 +14,8 @@
 	mostBase = time.Second
 	// memory is the weight that past answers keep at each new one.
 	memory = 0.98
+	// leastRatio keeps a service that is faster than expected from making each of its endpoints look slow.
+	leastRatio = 0.5
 	// enough is the weight of answers from which on they are believed.
 	enough = 8
 	// leastSpread is the variance of the prompts' lengths, in tokens squared, below which they tell nothing of the rate.
@@ -26,10 +28,12 @@
 	n, x, y, xx, xy float64
 	base            time.Duration
 	rate            float64
+	// ratio is the mean of how late answers come against what was expected.
+	ratio float64
 }
 
 func newSpeed() *speed {
-	return &speed{base: baseDelay, rate: prefillRate}
+	return &speed{base: baseDelay, rate: prefillRate, ratio: 1}
 }
 
 // reading returns the time that reading so many tokens takes.
@@ -37,6 +41,13 @@
 	return time.Duration(float64(tokens) / s.rate * float64(time.Second))
 }
 
+// relative returns how late an answer came against the expectation, by what is usual for the service.
+func (s *speed) relative(after, expected time.Duration) float64 {
+	ratio := min(after.Seconds()/expected.Seconds(), slowMost)
+	s.ratio += (ratio - s.ratio) * (1 - memory)
+	return ratio / max(s.ratio, leastRatio)
+}
+
 // observe takes in an answer that came after a time.
 func (s *speed) observe(tokens int, after time.Duration) {
 	x, y := float64(tokens), after.Seconds()
--- a/internal/place/summary.go
+++ b/internal/place/summary.go
@@ -19,7 +19,7 @@
 				continue
 			}
 			s.Running++
-			if !r.first && l.speed != nil {
+			if !r.first && l.engine {
 				s.Backlog += l.speed.reading(r.need)
 			}
 		}
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -39,7 +39,7 @@
 	}
 
 	// Request is what a placement depends on. Run names the attempt at one endpoint; Bytes is the
-	// size of its body, Input and Output are tokens. Waited is the time since it came, and Left that until its caller leaves.
+	// size of its body, Input and Output are tokens. Left is the time until its caller leaves.
 	Request struct {
 		Run      string        `json:"run"`
 		Service  string        `json:"service"`
@@ -52,18 +52,19 @@
 		Parts    []Part        `json:"parts,omitempty"`
 		Avoid    []string      `json:"avoid,omitempty"`
 		Target   time.Duration `json:"target"`
-		Waited   time.Duration `json:"waited,omitempty"`
 		Left     time.Duration `json:"left"`
 	}
 
-	// Choice is the endpoint for a request, with the prompt tokens that it must likely read, the expected time to its first
-	// answer, and the number of requests that run there.
+	// Choice is the endpoint for a request, with the prompt tokens that it must likely read, those that it can fetch from the
+	// engine Source, the expected time to its first answer, and the number of requests that run there.
 	Choice struct {
 		ID       string         `json:"id"`
 		Addr     netip.AddrPort `json:"addr"`
 		Born     int64          `json:"born"`
 		Zone     string         `json:"zone"`
 		Need     int            `json:"need,omitempty"`
+		Moved    int            `json:"moved,omitempty"`
+		Source   netip.AddrPort `json:"source"`
 		Expected time.Duration  `json:"expected"`
 		Running  int            `json:"running"`
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -127,11 +127,11 @@
 		q.run = q.caller.ID + "/" + strconv.FormatUint(q.p.serial.Add(1), 36)
 		c, shared, err := q.p.opt.Chooser.Pick(q.r.Context(), place.Request{
 			Run: q.run, Service: q.service.Name, Priority: q.priority(), Bytes: len(q.body), Input: q.caller.Input, Output: q.caller.Output,
-			Parts: q.caller.Parts, Avoid: q.avoid, Target: q.route.Target, Waited: now.Sub(q.arrived), Left: q.until.Sub(now),
+			Parts: q.caller.Parts, Avoid: q.avoid, Target: q.route.Target, Left: q.until.Sub(now),
 		})
 		if err == nil {
 			q.log.Info("endpoint chosen", zap.String("run", q.run), zap.String("endpoint", c.ID), zap.Bool("shared", shared),
-				zap.Int("input", q.caller.Input), zap.Int("need", c.Need), zap.Int("running", c.Running), zap.Duration("expected", c.Expected),
+				zap.Int("input", q.caller.Input), zap.Int("need", c.Need), zap.Int("moved", c.Moved), zap.Int("running", c.Running), zap.Duration("expected", c.Expected),
 				zap.Int("try", q.tries), zap.Duration("waited", now.Sub(q.arrived)), zap.Duration("took", q.p.opt.Now().Sub(now)))
 			return c, true
 		}
@@ -155,6 +155,7 @@
 func (q *request) sending(c place.Choice, after string) Sending {
 	s := Sending{
 		Endpoint: c.ID, Deadline: q.until.Sub(q.p.opt.Now()), Priority: q.priority(), Engine: q.service.Engine != nil, After: after,
+		Source: c.Source,
 	}
 	if q.org != nil {
 		s.Organisation = q.org.Name
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/greengagewheel/greengagewheel/internal/place"
@@ -28,6 +29,8 @@
 		Priority     int
 		Engine       bool
 		After        string
+		// Source is an engine that has leading parts of the prompt in its cache, which the endpoint may fetch; it may be invalid.
+		Source netip.AddrPort
 	}
 
 	// Answer is what the header of an answer says. ID names the request that it belongs to, or is empty; Signed tells that an
