--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -357,8 +358,12 @@
 	lead, _ := g.core.LeaderAddr()
 	g.mu.Lock()
 	turned := g.leader.ID != lead.ID
+	before := g.status.Conf
 	g.status, g.leader = st, lead
 	g.mu.Unlock()
+	if !slices.Equal(before.Members, st.Conf.Members) {
+		g.opt.Log.Info("members of the log changed", zap.Stringer("members", st.Conf), zap.Uint64("last", st.Last), zap.Uint64("term", st.Term))
+	}
 	if turned && g.turned != nil {
 		g.turned()
 	}
--- a/internal/group/wire.go
+++ b/internal/group/wire.go
@@ -242,9 +242,7 @@
 			mu.Lock()
 			replies = append(replies, r)
 			mu.Unlock()
-			g.mu.Lock()
-			g.met[r.Self.ID] = r.Self
-			g.mu.Unlock()
+			g.meet(r.Self)
 		})
 	}
 	wg.Wait()
@@ -321,5 +319,15 @@
 	p := Packet{Cluster: g.Cluster(), Join: &self}
 	if err := g.opt.Links.Call(ctx, leader, peer.Step, helloTimeout, p, &r); err != nil {
 		g.opt.Log.Debug("join not yet possible", zap.Error(err))
+		return
 	}
+	// The leader may be none of those that were greeted, and is answered before the log names it.
+	g.meet(r.Self)
+}
+
+// meet notes a replica that answered, so that messages reach it while the log does not name it yet.
+func (g *Group) meet(m repl.Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.met[m.ID] = m
 }
--- a/internal/repl/types.go
+++ b/internal/repl/types.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 )
 
@@ -180,6 +181,19 @@
 	return Member{}, false
 }
 
+// String returns the members' names, voters first, and learners behind a plus sign each.
+func (c Conf) String() string {
+	var voters, learners string
+	for _, m := range c.Members {
+		if m.Voter {
+			voters += " " + m.Name + "/" + m.ID
+		} else {
+			learners += " +" + m.Name + "/" + m.ID
+		}
+	}
+	return strings.TrimSpace(voters + learners)
+}
+
 // Voters returns the number of members that vote.
 func (c Conf) Voters() int {
 	n := 0
--- a/internal/rig/addr.go
+++ b/internal/rig/addr.go
@@ -34,16 +34,16 @@
 }
 
 func freeAddr(n int) (netip.AddrPort, error) {
-	as, err := FreeAddrs(host(n), 1)
+	as, err := FreeAddrs(Host(n), 1)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
 	return as[0], nil
 }
 
-// host returns a loopback address that no other process uses: a port of a process that is down for a while
+// Host returns a loopback address that no other process uses: a port of a process that is down for a while
 // must not be taken by a connection of another.
-func host(n int) string {
+func Host(n int) string {
 	const nets = 250
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid/nets%nets, 1+pid%nets, n)
--- a/internal/rig/proc.go
+++ b/internal/rig/proc.go
@@ -53,9 +53,14 @@
 	return nil
 }
 
+// Spawn starts a program of a folder; what it writes to both outputs is its log.
+func Spawn(bin, name string, args ...string) (*Proc, error) {
+	return spawn(bin, name, args...)
+}
+
 func spawn(bin, name string, args ...string) (*Proc, error) {
 	p := &Proc{cmd: exec.Command(filepath.Join(bin, name), args...), log: &buffer{}, end: make(chan struct{})}
-	p.cmd.Stderr = p.log
+	p.cmd.Stderr, p.cmd.Stdout = p.log, p.log
 	p.cmd.Env = append(os.Environ(), "GREENGAGEWHEEL_ENDPOINT_KEY="+EndpointKey)
 	if err := p.cmd.Start(); err != nil {
 		return nil, fault.At("start", name, err)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -92,7 +92,7 @@
 			Dir:  filepath.Join(opt.Dir, fmt.Sprintf("data%d", i+1)),
 			Conf: filepath.Join(opt.Dir, fmt.Sprintf("i%d.toml", i+1)),
 		}
-		as, err := FreeAddrs(host(firstInstance+i), listeners)
+		as, err := FreeAddrs(Host(firstInstance+i), listeners)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -12,7 +12,7 @@
 		const times = 20_000
 		repeats := 0
 		for range times {
-			as, err := FreeAddrs(host(firstInstance), listeners)
+			as, err := FreeAddrs(Host(firstInstance), listeners)
 			So(err, ShouldBeNil)
 			if as[0] == as[1] || as[1] == as[2] || as[0] == as[2] {
 				repeats++
