--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/logs"
@@ -55,13 +56,17 @@
 
 // routes runs an instance that routes by a routing table.
 func (c *serveCmd) routes(ctx context.Context, settings conf.Conf) error {
-	log, err := logs.New(c.env.Out, settings.Log.Level)
+	queue := logs.NewQueue(c.env.Out, time.Now)
+	log, err := logs.New(queue, settings.Log.Level)
 	if err != nil {
 		return err
 	}
 	r, err := router.New(settings, c.Conf, c.env.Wire, log)
-	if err != nil {
-		return err
+	if err == nil {
+		err = r.Run(ctx)
+	}
+	if e := queue.Sync(); e != nil {
+		return errors.Join(err, e)
 	}
-	return r.Run(ctx)
+	return err
 }
