repl: send no entries to a replica until it is known where its log departs

Change: a rejection names the entry before all those of the term that stands there; a replica that rejects gets empty messages until one fits.

--- a/internal/repl/append.go
+++ b/internal/repl/append.go
@@ -16,7 +16,7 @@
 	}
 	for _, m := range c.conf.Members {
 		p := c.prog[m.ID]
-		if m.ID != c.id && p.next <= c.last() {
+		if m.ID != c.id && p.next <= c.last() && !p.probing {
 			c.sendAppend(m.ID, p)
 		}
 	}
@@ -51,7 +51,10 @@
 		c.sendSnap(to, p)
 		return
 	}
-	batch := c.batch(p.next)
+	var batch []Entry
+	if !p.probing {
+		batch = c.batch(p.next)
+	}
 	c.send(Msg{Kind: Append, To: to, Index: prev, LogTerm: term, Entries: batch, Commit: c.commit, Round: c.round})
 	p.next += uint64(len(batch))
 }
@@ -88,7 +91,7 @@
 	}
 	term, ok := c.termAt(m.Index)
 	if !ok || term != m.LogTerm {
-		c.send(Msg{Kind: Appended, To: m.From, Reject: true, Index: min(c.last(), m.Index-1), Round: m.Round})
+		c.send(Msg{Kind: Appended, To: m.From, Reject: true, Index: c.departs(m.Index), Round: m.Round})
 		return
 	}
 	for i, e := range m.Entries {
@@ -104,6 +107,22 @@
 	c.ack(m, end)
 }
 
+// departs returns the index up to which a leader's log may be the same, where it is not at an index: before the end of this log,
+// or before all entries of the term that stands there.
+func (c *Core) departs(index uint64) uint64 {
+	if index > c.last() {
+		return c.last()
+	}
+	term, _ := c.termAt(index)
+	for index > c.commit {
+		index--
+		if t, ok := c.termAt(index); !ok || t != term {
+			break
+		}
+	}
+	return index
+}
+
 // hear notes that the leader of the present term lives.
 func (c *Core) hear(m Msg) {
 	if c.role != Follower || c.leader != m.From {
@@ -144,10 +163,16 @@
 	p.round = max(p.round, m.Round)
 	c.confirm()
 	if m.Reject {
-		p.next = max(min(p.next, m.Index+1), p.match+1)
+		next := max(min(p.next, m.Index+1), p.match+1)
+		if p.probing && next == p.next {
+			// It answers an earlier message; the next heartbeat asks again.
+			return
+		}
+		p.next, p.probing = next, true
 		c.sendAppend(m.From, p)
 		return
 	}
+	p.probing = false
 	if m.Index > p.match {
 		p.match = m.Index
 		p.next = max(p.next, p.match+1)
--- a/internal/repl/core.go
+++ b/internal/repl/core.go
@@ -10,11 +10,13 @@
 type (
 	// progress is what a leader knows of one member.
 	progress struct {
-		match  uint64
-		next   uint64
-		round  uint64
-		heard  time.Time
-		snapAt time.Time
+		match uint64
+		next  uint64
+		// probing tells that it is not known where the member's log departs from this one; no entries are sent until it is.
+		probing bool
+		round   uint64
+		heard   time.Time
+		snapAt  time.Time
 	}
 
 	pendingRead struct {
