proxy, router: quarantine requests under which endpoints go down

A request whose endpoint takes no new connection right after the connection broke is reported to the log by its organisation, method, target and body; the third endpoint quarantines it everywhere, and a run to its end clears it. Test: TestCrash.

--- a/internal/ctrl/command.go
+++ b/internal/ctrl/command.go
@@ -108,9 +108,11 @@
 		Return   int64  `json:"return,omitempty"`
 	}
 
-	// Poison reports that an endpoint crashed while it ran a request, or that the request ran to its end.
+	// Poison reports that an endpoint crashed while it ran a request, or that the request ran to its end. Most is the number of
+	// endpoints that it may crash; 0 stands for crashesToQuarantine.
 	Poison struct {
 		Print string `json:"print"`
+		Most  int    `json:"most,omitempty"`
 		Boot  string `json:"boot,omitempty"`
 		Clear bool   `json:"clear,omitempty"`
 	}
--- a/internal/ctrl/prints.go
+++ b/internal/ctrl/prints.go
@@ -23,7 +23,11 @@
 		}
 	}
 	old.Boots = append(old.Boots, p.Boot)
-	old.Quarantined = len(old.Boots) >= crashesToQuarantine
+	most := p.Most
+	if most == 0 {
+		most = crashesToQuarantine
+	}
+	old.Quarantined = len(old.Boots) >= most
 	old.Mod = s.next()
 	return Result{Code: OK, Version: old.Mod}
 }
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -143,6 +143,16 @@
 	}
 }
 
+// Reachable reports whether an endpoint takes a new connection.
+func (p *Pools) Reachable(to Dest) bool {
+	c, err := p.dial(context.Background(), to)
+	if err != nil {
+		return false
+	}
+	_ = c.TCPConn.Close()
+	return true
+}
+
 // dial makes a connection, and tries a second time where the first takes long; the first that is made is used.
 func (p *Pools) dial(ctx context.Context, to Dest) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -290,6 +290,8 @@
 		o, f = place.Silent, &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}
 	case errors.Is(err, errForeign):
 		o = place.Failed
+	default:
+		q.suspect(c)
 	}
 	q.p.opt.Chooser.End(q.run, o)
 	again := q.mayTryAgain()
@@ -321,6 +323,7 @@
 	call.Keep(q.p.opt.Now(), resp, egress.Idle(ans.Keep))
 	if s.status < http.StatusInternalServerError && !promise(s.status) {
 		q.p.opt.Chooser.End(q.run, place.Done)
+		q.absolve()
 		q.pass(s)
 		q.end("answered", s.status)
 		return next{done: true}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -50,6 +50,12 @@
 		End(run string, o place.Outcome)
 	}
 
+	// Crashes keeps, for all instances, the prints of requests that endpoints went down under; start names the endpoint's start.
+	Crashes interface {
+		Crashed(print, start string)
+		Cleared(print string)
+	}
+
 	// Options holds what a proxy needs. Fresh tells whether the configuration is proven current; Share is what this instance
 	// may repeat of a service's requests.
 	Options struct {
@@ -58,6 +64,7 @@
 		View    func() *ctrl.View
 		Fresh   func(now time.Time) bool
 		Chooser Chooser
+		Crashes Crashes
 		Share   func() retry.Share
 		Now     func() time.Time
 		Meter   *meter.Meter
@@ -198,7 +205,10 @@
 	}
 	q.series = q.p.opt.Meter.Class(q.organisation(), q.route.Name)
 	q.budget = q.p.budgets.of(q.service.Name)
-	return q.read(view.Table.Limits().Body)
+	if f := q.read(view.Table.Limits().Body); f != nil {
+		return f
+	}
+	return q.quarantined(view)
 }
 
 // awaitStart lets a request that comes while the instance starts wait for the table. It may be the caller's last try, and a
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -74,6 +74,8 @@
 // endpoint is a fake endpoint with what it got.
 type endpoint struct {
 	addr netip.AddrPort
+	// last lets the endpoint take no more connections once it has one.
+	last atomic.Bool
 	mu   sync.Mutex
 	got  []got
 	gone chan struct{}
@@ -92,6 +94,9 @@
 			if err != nil {
 				return
 			}
+			if e.last.Load() {
+				_ = l.Close()
+			}
 			go e.serve(c, do)
 		}
 	}()
@@ -154,12 +159,21 @@
 // bench is a proxy before fake endpoints.
 type bench struct {
 	proxy *Proxy
+	view  *ctrl.View
+	down  reports
 	pick  *turns
 	addr  string
 	fresh atomic.Bool
 	id    atomic.Int64
 }
 
+// reports keeps what was reported of requests under which endpoints went down.
+type reports chan string
+
+func (r reports) Crashed(print, start string) { r <- print + " " + start }
+
+func (r reports) Cleared(print string) { r <- print + " cleared" }
+
 func routes() *table.Table {
 	route := func(prefix string, k table.Kind, attempts int) table.Route {
 		return table.Route{
@@ -181,14 +195,14 @@
 }
 
 func newBench(t *testing.T, scripts ...script) *bench {
-	b := &bench{pick: &turns{}}
+	b := &bench{pick: &turns{}, down: make(reports, 100)}
 	for _, s := range scripts {
 		b.pick.all = append(b.pick.all, newEndpoint(t, s))
 	}
 	b.fresh.Store(true)
-	view := &ctrl.View{Table: table.New(routes())}
+	b.view = &ctrl.View{Table: table.New(routes()), Prints: map[string]ctrl.Print{}}
 	b.proxy = New(Options{
-		Zone: "a", Dialect: plain{}, View: func() *ctrl.View { return view }, Fresh: func(time.Time) bool { return b.fresh.Load() },
+		Zone: "a", Dialect: plain{}, View: func() *ctrl.View { return b.view }, Crashes: b.down, Fresh: func(time.Time) bool { return b.fresh.Load() },
 		Chooser: b.pick, Share: func() retry.Share { return retry.Share{Ratio: 1, Slack: 100, Window: time.Second} }, Now: time.Now,
 		Meter: series, Log: zap.NewNop(),
 	})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,6 +74,7 @@
 		desk    *picker.Desk
 		control *control
 		picker  *picker.Picker
+		crashes *crashes
 		proxy   *proxy.Proxy
 		callers *http.Server
 		idle    *idleConns
@@ -224,8 +225,9 @@
 	r.picker = picker.New(picker.Options{
 		Self: r.self, Links: r.links, View: r.spread.View, Leader: r.spread.Leader, Now: clock.Now, Alone: c.Sched.Alone, Log: r.log,
 	})
+	r.crashes = newCrashes(r.quorum, r.log)
 	r.proxy = proxy.New(proxy.Options{
-		Zone: r.self.Zone, Dialect: wire.Dialect(), View: r.spread.View, Fresh: r.spread.Fresh, Chooser: r.picker, Share: r.share, Now: clock.Now,
+		Zone: r.self.Zone, Dialect: wire.Dialect(), View: r.spread.View, Fresh: r.spread.Fresh, Chooser: r.picker, Crashes: r.crashes, Share: r.share, Now: clock.Now,
 		Meter: r.meter, Log: r.log,
 	})
 	r.idle = newIdleConns()
@@ -338,6 +340,7 @@
 		r.wg.Go(func() { r.members.Run(r.ctx) })
 		r.wg.Go(func() { r.picker.Run(r.ctx) })
 		r.wg.Go(func() { r.prune(r.ctx) })
+		r.wg.Go(func() { r.crashes.run(r.ctx) })
 	}
 	r.wg.Go(func() { r.spread.Run(r.ctx) })
 	r.wg.Go(func() { r.watch(r.ctx) })
