--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/logs"
 	"github.com/greengagewheel/greengagewheel/internal/node"
@@ -61,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	r, err := router.New(settings, c.Conf, c.env.Wire, log)
+	r, err := router.New(settings, c.Conf, c.env.Wire, log.With(zap.String("instance", settings.Instance.Name)))
 	if err == nil {
 		err = r.Run(ctx)
 	}
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -157,14 +157,30 @@
 
 // Place chooses the endpoint for a request and enters its run; false tells that no endpoint can take it.
 func (b *Board) Place(now time.Time, q Request) (Choice, bool) {
+	usable := b.usable(&q)
 	if l := b.runs[q.Run]; l != nil {
-		return l.choice(l.runs[q.Run]), true
+		return l.choice(l.runs[q.Run], usable-1), true
 	}
 	best := b.best(now, &q)
 	if best == nil {
 		return Choice{}, false
 	}
-	return best.choice(b.enter(now, best, q)), true
+	return best.choice(b.enter(now, best, q), usable-1), true
+}
+
+// usable returns the number of endpoints that could take a request.
+func (b *Board) usable(q *Request) (n int) {
+	for _, l := range b.services[q.Service] {
+		if l.takes(q) {
+			n++
+		}
+	}
+	return n
+}
+
+// takes reports whether an endpoint may be chosen for a request.
+func (l *load) takes(q *Request) bool {
+	return l.ep.State == roster.Ready && !slices.Contains(q.Avoid, l.ep.ID)
 }
 
 // best returns the endpoint that suits a request best, or nil.
@@ -173,7 +189,7 @@
 	var bestCost time.Duration
 	apart := b.demandOf(q.Service).apart(len(b.services[q.Service]), b.spare)
 	for i, l := range b.services[q.Service] {
-		if l.ep.State != roster.Ready || slices.Contains(q.Avoid, l.ep.ID) {
+		if !l.takes(q) {
 			continue
 		}
 		cost := b.cost(now, l, q, i < apart)
@@ -184,10 +200,10 @@
 	return best
 }
 
-func (l *load) choice(r *run) Choice {
+func (l *load) choice(r *run, others int) Choice {
 	return Choice{
 		ID: l.ep.ID, Addr: l.ep.Addr, Born: l.ep.Born, Zone: l.ep.Zone, Need: r.need, Moved: r.moved, Source: r.source,
-		Expected: r.expected, Running: l.running(),
+		Expected: r.expected, Running: l.running(), Others: max(0, others),
 	}
 }
 
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -56,7 +56,8 @@
 	}
 
 	// Choice is the endpoint for a request, with the prompt tokens that it must likely read, those that it can fetch from the
-	// engine Source, the expected time to its first answer, and the number of requests that run there.
+	// engine Source, the expected time to its first answer, the number of requests that run there, and that of other endpoints
+	// that could take the request.
 	Choice struct {
 		ID       string         `json:"id"`
 		Addr     netip.AddrPort `json:"addr"`
@@ -67,6 +68,7 @@
 		Source   netip.AddrPort `json:"source"`
 		Expected time.Duration  `json:"expected"`
 		Running  int            `json:"running"`
+		Others   int            `json:"others"`
 	}
 
 	// Event tells a board what became of a run: Start where an entry chose for itself, First at the first answer, or End.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -135,8 +135,14 @@
 				zap.Int("try", q.tries), zap.Duration("waited", now.Sub(q.arrived)), zap.Duration("took", q.p.opt.Now().Sub(now)))
 			return c, true
 		}
-		if len(q.avoid) > 0 || now.After(patience) || !pace.Pause(q.r.Context(), noEndpointPause) {
-			q.log.Info("no endpoint", zap.String("service", q.service.Name), zap.Int("avoided", len(q.avoid)), zap.Bool("shared", shared))
+		if len(q.avoid) > 0 {
+			// All others are gone: the one that failed before is better than none.
+			q.log.Info("no other endpoint", zap.String("service", q.service.Name), zap.Strings("avoided", q.avoid))
+			q.avoid = nil
+			continue
+		}
+		if now.After(patience) || !pace.Pause(q.r.Context(), noEndpointPause) {
+			q.log.Info("no endpoint", zap.String("service", q.service.Name), zap.Bool("shared", shared))
 			return c, false
 		}
 	}
@@ -192,7 +198,7 @@
 	}
 	q.sent++
 	if err == nil {
-		err = call.Await(q.firstPatience(began, c.Expected))
+		err = call.Await(q.firstPatience(began, &c))
 	}
 	if err != nil {
 		return q.broken(c, call, err)
@@ -233,9 +239,9 @@
 
 // firstPatience returns how long the first answer of an endpoint is waited for. While another endpoint may be tried, that is a
 // few times what was expected; answers that are lost on their way never come.
-func (q *request) firstPatience(now time.Time, expected time.Duration) time.Duration {
-	left := q.until.Sub(now)
-	if !q.mayTryAgain() {
+func (q *request) firstPatience(now time.Time, c *place.Choice) time.Duration {
+	left, expected := q.until.Sub(now), c.Expected
+	if !q.mayTryAgain() || c.Others == 0 {
 		return left
 	}
 	if q.route.Kind == table.Stream {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -164,7 +164,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{p: p, r: r, w: w, arrived: p.opt.Now(), log: p.opt.Log}
-	if f := q.admit(); f != nil {
+	f := q.admit()
+	switch {
+	case q.gone():
+		q.end("caller left", 0)
+		return
+	case f != nil:
 		q.refuse(f)
 		return
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -96,6 +96,15 @@
 		So(s.header.Get("Retry-After"), ShouldEqual, "0.500")
 		So(s.header.Get("Signed"), ShouldEqual, "")
 	})
+	Convey("the only endpoint is tried once more, where the request may run again", t, func() {
+		b := newBench(t, func(q got, c net.Conn) bool {
+			if q.n == 0 {
+				return false
+			}
+			return ok(q, c)
+		})
+		So(b.ask(http.MethodGet, "/repeat/", "").status, ShouldEqual, http.StatusOK)
+	})
 	Convey("an endpoint that cannot be reached has not run it", t, func() {
 		b := newBench(t, ok, ok)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -49,7 +49,7 @@
 func (q *request) stream(c place.Choice, call *egress.Call, resp *http.Response, ans Answer, began time.Time) next {
 	s := &events{q: q, control: http.NewResponseController(q.w), header: endToEnd(resp.Header), last: -1}
 	for {
-		err := s.relay(call, resp.Body, q.firstPatience(began, c.Expected), func() {
+		err := s.relay(call, resp.Body, q.firstPatience(began, &c), func() {
 			q.p.opt.Chooser.First(q.run, q.p.opt.Now().Sub(began))
 		})
 		if err == nil {
