place, picker: place in one pass over the endpoints; tell loads once a second

For each endpoint a placement looked at all others for the one that has the prompt, and the backlog of each was the sum over its runs; each answer carried the loads of all endpoints. Change: the engine that has the most of a prompt is found once a placement; the tokens to be read are counted as they change; an entry is told the loads of a service once a second, without the idle endpoints, as it needs them only while the leader is silent. Test: TestBacklog, TestLoadsAreToldSeldom (failed before: told 40 times).

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -105,7 +105,7 @@
 }
 
 type slopesCmd struct {
-	Only []string `long:"only" description:"sched, log, claims, spread, contracts, force, gap, overhead or streams; may be repeated; all if not given"`
+	Only []string `long:"only" description:"sched, place, log, claims, spread, contracts, force, gap, overhead or streams; may be repeated; all if not given"`
 }
 
 // Execute measures the slopes and prints them.
@@ -120,6 +120,7 @@
 		run  func(bin string) error
 	}{
 		{"sched", func(string) error { return printSlopes(bench.SchedSlopes(), nil) }},
+		{"place", func(string) error { return printSlopes([]bench.Slope{bench.PlaceSlope()}, nil) }},
 		{"log", printLog},
 		{"claims", func(string) error { return printSlopes([]bench.Slope{bench.ClaimBytes()}, nil) }},
 		{"spread", func(bin string) error { return printSlopes(bench.SpreadSlopes(bin)) }},
--- a/internal/picker/desk.go
+++ b/internal/picker/desk.go
@@ -20,6 +20,9 @@
 	maxEvents = 4096
 	// keptAsks is the number of an entry's latest asks that are told apart.
 	keptAsks = 512
+	// tellEvery is the least time between two times that an entry is told the loads of a service; it needs them only while the
+	// leader does not answer.
+	tellEvery = time.Second
 	// learnTimeout is how long an engine may take to tell what it has in its cache.
 	learnTimeout = time.Second
 )
@@ -35,12 +38,12 @@
 		Events  []place.Event  `json:"events,omitempty"`
 	}
 
-	// Reply answers an ask; with Leads unset this instance places nothing.
+	// Reply answers an ask; with Leads unset this instance places nothing. Loads is left out where it was told of late.
 	Reply struct {
-		Leads  bool            `json:"leads"`
-		Found  bool            `json:"found"`
-		Choice place.Choice    `json:"choice"`
-		Loads  []place.Summary `json:"loads,omitempty"`
+		Leads  bool         `json:"leads"`
+		Found  bool         `json:"found"`
+		Choice place.Choice `json:"choice"`
+		Loads  *place.Loads `json:"loads,omitempty"`
 	}
 
 	// Engines asks model engines what they have in their prompt caches.
@@ -57,10 +60,11 @@
 		Log     *zap.Logger
 	}
 
-	// asker is one start of an entry with its latest asks, by number.
+	// asker is one start of an entry with its latest asks, by number, and when it was told the loads of each service.
 	asker struct {
 		boot   string
 		latest [keptAsks]uint64
+		told   map[string]time.Time
 	}
 
 	// Desk places the requests of all entries where the log is led.
@@ -99,11 +103,22 @@
 		// The first of the two came long ago: its run has ended, and its answer was taken.
 	default:
 		r.Choice, r.Found = d.board.Place(now, *a.Request)
-		r.Loads = d.board.Summarize(now, a.Request.Service, a.Entry)
+		r.Loads = d.loads(now, &a)
 	}
 	return r, nil
 }
 
+// loads returns the loads of the service that an ask is about, or nil where the entry was told them of late.
+func (d *Desk) loads(now time.Time, a *Ask) *place.Loads {
+	told, service := d.asked[a.Entry].told, a.Request.Service
+	if at, ok := told[service]; ok && now.Sub(at) < tellEvery {
+		return nil
+	}
+	told[service] = now
+	l := d.board.Summarize(now, service, a.Entry)
+	return &l
+}
+
 // repeated notes an ask and reports whether it has come before. It forgets the runs of an entry that has started anew.
 func (d *Desk) repeated(now time.Time, a *Ask) bool {
 	k := d.asked[a.Entry]
@@ -111,7 +126,7 @@
 		if k != nil {
 			d.board.Lost(now, a.Entry)
 		}
-		k = &asker{boot: a.Boot}
+		k = &asker{boot: a.Boot, told: map[string]time.Time{}}
 		d.asked[a.Entry] = k
 	}
 	last := &k.latest[a.Number%keptAsks]
--- a/internal/picker/desk_test.go
+++ b/internal/picker/desk_test.go
@@ -102,3 +102,32 @@
 		So(d.board.Knows("l"), ShouldBeFalse)
 	})
 }
+
+// TestLoadsAreToldSeldom plays an entry that asks often: what others run is sent along once in a while.
+func TestLoadsAreToldSeldom(t *testing.T) {
+	Convey("an entry learns what others run, without the idle endpoints, once in a while", t, func() {
+		view, now := service(100), time.Unix(1000, 0)
+		d := NewDesk(DeskOptions{
+			View: func() *ctrl.View { return view }, Leads: func() bool { return true }, Engines: caches{}, Now: func() time.Time { return now }, Log: zap.NewNop(),
+		})
+		ask := func(entry, run string) Reply {
+			q := &place.Request{Run: run, Service: "s", Entry: entry, Zone: "a", Left: time.Minute}
+			r, err := d.Serve(context.Background(), Ask{Entry: entry, Boot: "1", Request: q})
+			So(err, ShouldBeNil)
+			So(r.Found, ShouldBeTrue)
+			return r
+		}
+		busy := ask("other", "o").Choice.ID
+		told := 0
+		for i := range 40 {
+			r := ask("x", fmt.Sprint(i))
+			if r.Loads != nil {
+				told++
+				So(r.Loads.Busy, ShouldHaveLength, 1)
+				So(r.Loads.Busy[0].ID, ShouldEqual, busy)
+			}
+			now = now.Add(50 * time.Millisecond)
+		}
+		So(told, ShouldEqual, 2)
+	})
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -30,7 +30,7 @@
 	// flushEvery is the longest time that events wait for an ask to go with.
 	flushEvery = 100 * time.Millisecond
 	// staleLoads is the age at which the leader's last word on others' requests counts for nothing.
-	staleLoads = 2 * time.Second
+	staleLoads = 2*time.Second + tellEvery
 )
 
 // ErrNone tells that no endpoint of a service can take a request.
@@ -120,8 +120,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.sync()
-	p.board.Adopt(r.Loads)
-	p.heardAt = now
+	if r.Loads != nil {
+		p.board.Adopt(*r.Loads)
+		p.heardAt = now
+	}
 	p.runs[q.Run] = placed{q, r.Choice.ID}
 	p.board.Take(now, place.Event{Run: q.Run, Start: &q, At: r.Choice.ID})
 }
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -70,8 +70,10 @@
 		slots  int
 		runs   map[string]*run
 		// reading is the run whose prompt an engine likely reads now, since a moment; an engine reads one after the other.
-		reading   *run
-		since     time.Time
+		reading *run
+		since   time.Time
+		// unread is the sum of the prompt tokens that are still to be read.
+		unread    int
 		speed     *speed
 		cache     *cache
 		trouble   float64
@@ -188,11 +190,12 @@
 	var best *load
 	var bestCost time.Duration
 	apart := b.demandOf(q.Service).apart(len(b.services[q.Service]), b.spare)
+	from := b.holder(q)
 	for i, l := range b.services[q.Service] {
 		if !l.takes(q) {
 			continue
 		}
-		cost := b.cost(now, l, q, i < apart)
+		cost := b.cost(now, l, q, from, i < apart)
 		if best == nil || cost < bestCost {
 			best, bestCost = l, cost
 		}
@@ -208,12 +211,13 @@
 }
 
 func (b *Board) enter(now time.Time, l *load, q Request) *run {
-	need, moved, source := b.work(l, &q)
+	need, moved, source := l.work(&q, b.holder(&q))
 	r := &run{q: q, need: need, moved: moved, began: now, expected: l.expect(now, need, moved), alone: l.reading == nil}
 	if source != nil {
 		r.source = source.ep.Addr
 	}
 	l.runs[q.Run] = r
+	l.unread += need
 	b.runs[q.Run] = l
 	if l.cache != nil {
 		l.cache.touch(q.Parts)
@@ -232,13 +236,7 @@
 	if l.reading == nil {
 		return 0
 	}
-	left := max(0, l.speed.reading(l.reading.need)-now.Sub(l.since))
-	for _, r := range l.runs {
-		if !r.first && r != l.reading {
-			left += l.speed.reading(r.need)
-		}
-	}
-	return left
+	return max(0, l.speed.reading(l.reading.need)-now.Sub(l.since)) + l.speed.reading(l.unread-l.reading.need)
 }
 
 // readOn takes the next prompt for the one that is read since a moment.
@@ -259,26 +257,39 @@
 	return r.q.Run < o.q.Run
 }
 
-// work returns what an engine must do for a request's prompt: the tokens that it must read, and those that it can fetch from
-// another engine, source, which has them in its cache.
-func (b *Board) work(l *load, q *Request) (need, moved int, source *load) {
-	if l.cache == nil {
-		return 0, 0, nil
+// holding is the engine that has the most of a prompt's leading parts in its cache, and how many tokens these are.
+type holding struct {
+	engine *load
+	tokens int
+}
+
+// holder returns the engine that has the most of a prompt.
+func (b *Board) holder(q *Request) (h holding) {
+	if len(q.Parts) == 0 {
+		return h
 	}
-	own := l.cache.hit(q.Parts)
-	most := own
-	for _, o := range b.services[q.Service] {
-		if o == l || o.cache == nil || o.ep.State != roster.Ready {
+	for _, l := range b.services[q.Service] {
+		if l.cache == nil || l.ep.State != roster.Ready {
 			continue
 		}
-		if n := o.cache.hit(q.Parts); n > most {
-			most, source = n, o
+		if n := l.cache.hit(q.Parts); n > h.tokens {
+			h = holding{l, n}
 		}
 	}
-	if most-own < leastMove {
-		most, source = own, nil
+	return h
+}
+
+// work returns what an engine must do for a request's prompt: the tokens that it must read, and those that it can fetch from
+// the engine source, which has them in its cache.
+func (l *load) work(q *Request, from holding) (need, moved int, source *load) {
+	if l.cache == nil {
+		return 0, 0, nil
+	}
+	most := l.cache.hit(q.Parts)
+	if n := from.tokens - most; from.engine != l && n >= leastMove {
+		most, moved, source = from.tokens, n, from.engine
 	}
-	return max(0, q.Input-most), most - own, source
+	return max(0, q.Input-most), moved, source
 }
 
 // expect returns the time to the first answer of a request at an endpoint that is as fast as it should be.
@@ -295,8 +306,8 @@
 }
 
 // cost returns what speaks against an endpoint, as a time; apart tells that it is kept for short prompts.
-func (b *Board) cost(now time.Time, l *load, q *Request, apart bool) time.Duration {
-	need, moved, _ := b.work(l, q)
+func (b *Board) cost(now time.Time, l *load, q *Request, from holding, apart bool) time.Duration {
+	need, moved, _ := l.work(q, from)
 	c := time.Duration(float64(l.expect(now, need, moved)) * l.slowness(now))
 	if l.engine {
 		if apart && l.speed.reading(need) > shortRead {
@@ -360,6 +371,9 @@
 	r := l.runs[id]
 	delete(l.runs, id)
 	delete(b.runs, id)
+	if !r.first {
+		l.unread -= r.need
+	}
 	if r == l.reading {
 		l.readOn(l.since)
 	}
@@ -371,6 +385,7 @@
 		return
 	}
 	r.first = true
+	l.unread -= r.need
 	if l.engine {
 		// Its prompt was read a base time ago.
 		l.readOn(now.Add(-l.speed.base))
--- a/internal/place/load_test.go
+++ b/internal/place/load_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"github.com/greengagewheel/greengagewheel/internal/roster"
 	"github.com/greengagewheel/greengagewheel/pkg/table"
@@ -347,3 +348,37 @@
 		So(moved, ShouldBeGreaterThanOrEqualTo, 13_300)
 	})
 }
+
+// TestBacklog holds that what is counted up equals the sum over the runs, whatever becomes of them.
+func TestBacklog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New()
+		b.Sync(endpoints(3))
+		now := time.Unix(1000, 0)
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			run := fmt.Sprint(rapid.IntRange(0, i).Draw(t, "run"))
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				b.Place(now, Request{Run: run, Service: "s", Zone: "a", Input: rapid.IntRange(0, 20_000).Draw(t, "input"), Left: 12 * time.Second})
+			case 2:
+				b.Take(now, Event{Run: run, First: 100 * time.Millisecond})
+			case 3:
+				b.Take(now, Event{Run: run, End: Done})
+			case 4:
+				now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause")) * time.Millisecond)
+				b.Tick(now)
+			}
+			for _, l := range b.loads {
+				unread := 0
+				for _, r := range l.runs {
+					if !r.first {
+						unread += r.need
+					}
+				}
+				if l.unread != unread {
+					t.Fatalf("endpoint %s: %d tokens to be read, counted %d", l.ep.ID, unread, l.unread)
+				}
+			}
+		}
+	})
+}
--- a/internal/place/summary.go
+++ b/internal/place/summary.go
@@ -9,10 +9,9 @@
 const troubleUnit = 10
 
 // Summarize returns the loads of a service's endpoints without the runs of one entry, which that entry knows itself.
-func (b *Board) Summarize(now time.Time, service, entry string) []Summary {
-	ls := b.services[service]
-	out := make([]Summary, 0, len(ls))
-	for _, l := range ls {
+func (b *Board) Summarize(now time.Time, service, entry string) Loads {
+	out := Loads{Service: service}
+	for _, l := range b.services[service] {
 		s := Summary{ID: l.ep.ID, Trouble: int(math.Round(l.troubles(now) * troubleUnit))}
 		for _, r := range l.runs {
 			if r.q.Entry == entry {
@@ -23,14 +22,19 @@
 				s.Backlog += l.speed.reading(r.need)
 			}
 		}
-		out = append(out, s)
+		if s != (Summary{ID: s.ID}) {
+			out.Busy = append(out.Busy, s)
+		}
 	}
 	return out
 }
 
 // Adopt takes on what a board that sees all entries says of the requests of others.
-func (b *Board) Adopt(all []Summary) {
-	for _, s := range all {
+func (b *Board) Adopt(all Loads) {
+	for _, l := range b.services[all.Service] {
+		l.elsewhere = Summary{}
+	}
+	for _, s := range all.Busy {
 		if l := b.loads[s.ID]; l != nil {
 			l.elsewhere = s
 		}
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -80,6 +80,12 @@
 		End   Outcome       `json:"end,omitempty"`
 	}
 
+	// Loads holds how loaded the endpoints of a service are; those that are left out are idle.
+	Loads struct {
+		Service string    `json:"s"`
+		Busy    []Summary `json:"e"`
+	}
+
 	// Summary is how loaded an endpoint is, for boards that see only a part of its requests.
 	Summary struct {
 		ID      string        `json:"i"`
