proxy: tell callers of a service that is down to come back once it may be up

Cause: where all endpoints of a service were down for seconds, callers were told to come back after 0.3 s, found it down still, and had no further try. Ruled out: other endpoints (all were down), the wait for one (an eighth of the target). Change: where no endpoint was reached, Retry-After is 3 s, and at most a third of the time that the caller has left, which is as long as callers wait.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -34,8 +34,12 @@
 	callFactor    = 3
 	streamPercent = 150
 	streamFactor  = 6
-	// retryFull is when to come back to endpoints that are full, or that none is there.
+	// retryFull is when to come back to endpoints that are full.
 	retryFull = 500 * time.Millisecond
+	// retryDown is when to come back to a service of which no endpoint was reached: one that crashed takes seconds to start.
+	retryDown = 3 * time.Second
+	// waitPart is the part of its time, one in waitPart, that a caller waits at most before it comes back.
+	waitPart = 3
 )
 
 // next tells how to go on after a try.
@@ -74,6 +78,9 @@
 		}
 		c, ok := q.choose()
 		if !ok {
+			if q.tries == 0 {
+				last.refusal = &refusal{status: http.StatusServiceUnavailable, reason: "no endpoint"}
+			}
 			break
 		}
 		last = q.try(c)
@@ -96,12 +103,24 @@
 		return
 	}
 	f := last.refusal
+	if q.sent == 0 && f.after == 0 {
+		f.after = downPause(q.p.opt.Now().Sub(q.arrived), q.caller.Deadline)
+	}
 	if q.ran && q.route.Kind != table.Repeat && f.status == http.StatusServiceUnavailable {
 		f = &refusal{status: http.StatusBadGateway, reason: f.reason}
 	}
 	q.refuse(f)
 }
 
+// downPause returns when a caller shall come back to a service of which no endpoint was reached: once endpoints that crashed
+// may be back, but within the time that the caller waits, as it may not try a third time.
+func downPause(took, deadline time.Duration) time.Duration {
+	if deadline <= 0 {
+		return retryDown
+	}
+	return max(retrySoon, min(retryDown, (deadline-took)/waitPart))
+}
+
 // mayRepeat takes a repeat from the service's budget.
 func (q *request) mayRepeat(now time.Time) bool {
 	if q.sent == 0 {
@@ -266,7 +285,7 @@
 func (q *request) unsent(c place.Choice, err error) next {
 	q.p.opt.Chooser.End(q.run, place.Unreached)
 	q.log.Info("endpoint not reached", zap.String("run", q.run), zap.String("endpoint", c.ID), zap.Error(err))
-	return next{again: true, refusal: &refusal{status: http.StatusServiceUnavailable, reason: "endpoint not reached", after: retrySoon}}
+	return next{again: true, refusal: &refusal{status: http.StatusServiceUnavailable, reason: "endpoint not reached"}}
 }
 
 // notRun goes on after an endpoint said that it has not run the request.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -111,6 +111,7 @@
 	}
 
 	// refusal is an answer of the router's own. Ran tells that an endpoint may have run the request.
+	// Without after, callers are told when to come back if nothing was sent.
 	refusal struct {
 		status int
 		reason string
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -107,10 +107,7 @@
 	})
 	Convey("an endpoint that cannot be reached has not run it", t, func() {
 		b := newBench(t, ok, ok)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		So(l.Close(), ShouldBeNil)
-		b.pick.all[0].addr = mustAddr(l.Addr().String())
+		b.pick.all[0].addr = closedAddr(t)
 		So(b.ask(http.MethodPost, "/once/", "x").status, ShouldEqual, http.StatusOK)
 		So(b.pick.ends, ShouldResemble, []place.Outcome{place.Unreached, place.Done})
 	})
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// closedAddr returns an address at which nothing listens.
+func closedAddr(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	return mustAddr(l.Addr().String())
+}
+
 func (e *endpoint) all() []got {
 	e.mu.Lock()
 	defer e.mu.Unlock()
