spread: prove configurations at once after an election

A replica that was turned to a new leader paused for 100 ms first, and pulls at replicas without a proof were answered at once, so that each went round the other replicas, 100 ms at each, before it came back to one with a proof. Ruled out: the election, the log's commit, connections between instances. Change: a change of the leader ends the pause and the round; a parent without a proof holds a pull for 100 ms and answers once it has one.

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -33,6 +33,9 @@
 	// pullTimeout is how long a parent that does not answer is waited for.
 	pullTimeout = memb.Hold + 300*time.Millisecond
 	retryPause  = 100 * time.Millisecond
+	// holdUnproven is how long a pull waits at a parent whose own proof is old: others may have a proof, but where a leader has
+	// just been elected all get one at about the same time.
+	holdUnproven = 100 * time.Millisecond
 )
 
 type (
@@ -131,7 +134,7 @@
 	for ctx.Err() == nil {
 		if s.opt.Root != nil && s.prove(ctx) {
 			at = 0
-			s.rest(ctx)
+			s.rest(ctx, proveEvery)
 			continue
 		}
 		parents := s.parents()
@@ -143,20 +146,25 @@
 			at, home = 0, clock.Now()
 		}
 		if !s.pull(ctx, parents[at%len(parents)]) || s.Age(clock.Now()) > stale {
-			at++
-			pace.Pause(ctx, retryPause)
+			if at++; s.rest(ctx, retryPause) {
+				at = 0
+			}
 		}
 		s.watch()
 	}
 }
 
-// rest waits until the next proof is due or something was committed.
-func (s *Spread) rest(ctx context.Context) {
+// rest waits for a time, and reports whether it ended early because something was committed here or another replica leads.
+func (s *Spread) rest(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-s.poke:
-	case <-time.After(proveEvery):
+		return true
+	case <-t.C:
 	}
+	return false
 }
 
 func (s *Spread) parents() []netip.AddrPort {
@@ -432,19 +440,23 @@
 	}
 }
 
-// Serve answers a child's pull: at once when there is something newer or the own proof is old, so that the child turns to
-// another parent; else when the proof is renewed.
+// Serve answers a child's pull: at once when there is something newer, else when the proof is renewed. Where the own proof is old
+// the answer comes soon, so that the child turns to another parent.
 func (s *Spread) Serve(ctx context.Context, p memb.Pull) (memb.News, error) {
 	arrived := clock.Now()
 	s.mu.Lock()
 	s.children.Seen(arrived, p)
 	news := s.news
 	moment, ok := s.proof.Moment()
-	current := ok && arrived.Sub(moment) < stale
-	newer := s.view.Load().Version > p.Version
+	wait := holdUnproven
+	if ok && arrived.Sub(moment) < stale {
+		if wait = memb.Hold; s.view.Load().Version > p.Version {
+			wait = 0
+		}
+	}
 	s.mu.Unlock()
-	if !newer && current {
-		hold := time.NewTimer(memb.Hold)
+	if wait > 0 {
+		hold := time.NewTimer(wait)
 		defer hold.Stop()
 		select {
 		case <-news:
