--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -36,6 +36,7 @@
 		queue  tally.Histogram
 		first  tally.Histogram
 		gap    tally.Histogram
+		took   tally.Histogram
 		tokens tally.Counter
 		wasted tally.Counter
 	}
@@ -67,7 +68,7 @@
 	s := m.scope.Tagged(map[string]string{"customer": customer, "class": class})
 	return &Class{
 		scope: s, queue: s.Histogram("queue_time", waitBuckets), first: s.Histogram("first_token_time", waitBuckets),
-		gap: s.Histogram("between_token_time", gapBuckets), tokens: s.Counter("tokens_delivered"), wasted: s.Counter("tokens_wasted"),
+		gap: s.Histogram("between_token_time", gapBuckets), took: s.Histogram("request_time", waitBuckets), tokens: s.Counter("tokens_delivered"), wasted: s.Counter("tokens_wasted"),
 	}
 }
 
@@ -108,6 +109,11 @@
 	c.gap.RecordDuration(d)
 }
 
+// Took records the time from a request's arrival to its end.
+func (c *Class) Took(d time.Duration) {
+	c.took.RecordDuration(d)
+}
+
 // Outcome counts a request that ended with a code such as "ok" or "overloaded".
 func (c *Class) Outcome(code string) {
 	c.scope.Tagged(map[string]string{"outcome": code}).Counter("requests").Inc(1)
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -97,6 +97,7 @@
 	if !found {
 		return c, false, ErrNone
 	}
+	c.Age = now.Sub(p.heardAt)
 	p.runs[q.Run] = placed{q, c.ID}
 	p.events = append(p.events, place.Event{Run: q.Run, Start: &q, At: c.ID})
 	return c, false, nil
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -57,7 +57,7 @@
 
 	// Choice is the endpoint for a request, with the prompt tokens that it must likely read, those that it can fetch from the
 	// engine Source, the expected time to its first answer, the number of requests that run there, and that of other endpoints
-	// that could take the request.
+	// that could take the request. Age is that of what the board was told of the requests of others.
 	Choice struct {
 		ID       string         `json:"id"`
 		Addr     netip.AddrPort `json:"addr"`
@@ -69,6 +69,7 @@
 		Expected time.Duration  `json:"expected"`
 		Running  int            `json:"running"`
 		Others   int            `json:"others"`
+		Age      time.Duration  `json:"age,omitempty"`
 	}
 
 	// Event tells a board what became of a run: Start where an entry chose for itself, First at the first answer, or End.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -150,8 +150,10 @@
 		})
 		if err == nil {
 			q.log.Info("endpoint chosen", zap.String("run", q.run), zap.String("endpoint", c.ID), zap.Bool("shared", shared),
-				zap.Int("input", q.caller.Input), zap.Int("need", c.Need), zap.Int("moved", c.Moved), zap.Int("running", c.Running), zap.Duration("expected", c.Expected),
-				zap.Int("try", q.tries), zap.Duration("waited", now.Sub(q.arrived)), zap.Duration("took", q.p.opt.Now().Sub(now)))
+				zap.Duration("age", c.Age), zap.Uint64("table", q.version), zap.Int("priority", q.priority()), zap.Int("input", q.caller.Input),
+				zap.Int("need", c.Need), zap.Int("moved", c.Moved), zap.Int("running", c.Running), zap.Int("others", c.Others),
+				zap.Duration("expected", c.Expected), zap.Int("try", q.tries), zap.Duration("waited", now.Sub(q.arrived)),
+				zap.Duration("took", q.p.opt.Now().Sub(now)))
 			return c, true
 		}
 		if len(q.avoid) > 0 {
@@ -161,7 +163,7 @@
 			continue
 		}
 		if now.After(patience) || !pace.Pause(q.r.Context(), noEndpointPause) {
-			q.log.Info("no endpoint", zap.String("service", q.service.Name), zap.Bool("shared", shared))
+			q.log.Info("no endpoint", zap.String("service", q.service.Name), zap.Bool("shared", shared), zap.Uint64("table", q.version))
 			return c, false
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -108,6 +108,8 @@
 		first  time.Duration
 		gap    time.Duration
 		events int
+		// after is when the caller was told to come back.
+		after time.Duration
 	}
 
 	// refusal is an answer of the router's own. Ran tells that an endpoint may have run the request.
@@ -308,7 +310,7 @@
 func (q *request) refuse(f *refusal) {
 	h := q.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	if f.after > 0 {
+	if q.after = f.after; q.after > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(f.after.Seconds(), 'f', 3, 64))
 	}
 	q.w.WriteHeader(f.status)
@@ -325,8 +327,16 @@
 	}
 	if q.series != nil {
 		q.series.Outcome(strconv.Itoa(status))
+		q.series.Took(took)
+		if q.first > 0 {
+			q.series.First(q.first)
+		}
+		if q.gap > 0 {
+			q.series.Gap(q.gap)
+		}
 	}
 	q.log.Info("request ended", zap.String("outcome", outcome), zap.Int("status", status), zap.String("route", name),
-		zap.String("organisation", q.organisation()), zap.Int("tries", q.tries), zap.Duration("first", q.first), zap.Int("events", q.events), zap.Duration("gap", q.gap),
-		zap.Duration("took", took), zap.Uint64("table", q.version))
+		zap.String("organisation", q.organisation()), zap.Int("tries", q.tries), zap.Int("sent", q.sent), zap.Duration("first", q.first),
+		zap.Int("events", q.events), zap.Duration("gap", q.gap), zap.Duration("took", took), zap.Duration("retry_after", q.after),
+		zap.Uint64("table", q.version))
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -256,3 +257,32 @@
 		So(s.header.Get("Retry-After"), ShouldNotEqual, "")
 	})
 }
+
+// TestSeries holds that what callers wait for can be read from the metrics.
+func TestSeries(t *testing.T) {
+	Convey("requests are counted, and their times go into histograms, by organisation and route", t, func() {
+		b := newBench(t, ok)
+		So(b.ask(http.MethodGet, "/repeat/", "").status, ShouldEqual, http.StatusOK)
+		text := ""
+		has := func(name string) bool {
+			for line := range strings.SplitSeq(text, "\n") {
+				if strings.HasPrefix(line, name) && strings.Contains(line, `customer="org"`) && strings.Contains(line, `class="_repeat_"`) {
+					return true
+				}
+			}
+			return false
+		}
+		// Series are reported once a second.
+		for range 100 {
+			w := httptest.NewRecorder()
+			series.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+			if text = w.Body.String(); has("greengagewheel_request_time_count") {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		So(has("greengagewheel_request_time_count"), ShouldBeTrue)
+		So(has("greengagewheel_first_token_time_bucket"), ShouldBeTrue)
+		So(has("greengagewheel_requests"), ShouldBeTrue)
+	})
+}
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -137,7 +137,9 @@
 	case w.Endpoint != nil:
 		return c.announced(ctx, *w.Endpoint)
 	case w.Exit != nil:
-		return heeded{Leads: true}, c.commit(ctx, ctrl.Command{Exit: w.Exit})
+		err := c.commit(ctx, ctrl.Command{Exit: w.Exit})
+		c.r.log.Info("endpoint left", zap.String("endpoint", w.Exit.ID), zap.Int64("born", w.Exit.Born), zap.Error(err))
+		return heeded{Leads: true}, err
 	}
 	return heeded{}, fault.New("take in", "", "empty word")
 }
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -330,7 +330,10 @@
 	for _, it := range items {
 		s.items[string(it.Kind)+"/"+it.Key] = it
 	}
-	s.view.Store(build(version, s.items, old, items, full))
+	v := build(version, s.items, old, items, full)
+	s.view.Store(v)
+	s.opt.Log.Info("configuration applied", zap.Uint64("version", version), zap.Uint64("before", old.Version), zap.Int("changed", len(items)),
+		zap.Bool("full", full), zap.Uint64("table", v.Table.Version()), zap.Int("endpoints", len(v.Endpoints)), zap.Int("prints", len(v.Prints)))
 	s.wake()
 	return true
 }
