router: no slack of the retry budget in the first window after a start

Cause: an instance forgets at its end what it repeated, so that after a restart of all entries the slack could be used twice within one window. Change: an instance that started less than a window ago repeats a part of its own requests only.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -61,6 +61,7 @@
 	Router struct {
 		conf    atomic.Pointer[conf.Conf]
 		file    string
+		born    time.Time
 		log     *zap.Logger
 		self    ctrl.Instance
 		links   *peer.Links
@@ -97,7 +98,7 @@
 // New listens on the instance's addresses and puts its parts together; file is read again when the settings change.
 func New(c conf.Conf, file string, wire Wire, log *zap.Logger) (*Router, error) {
 	r := &Router{
-		file: file, log: log, links: peer.NewLinks(c.Keys.Secret, c.Listen.Peers.Addr()), meter: meter.New(),
+		file: file, born: clock.Now(), log: log, links: peer.NewLinks(c.Keys.Secret, c.Listen.Peers.Addr()), meter: meter.New(),
 	}
 	r.conf.Store(&c)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -84,11 +84,19 @@
 	})
 }
 
-// share returns what this instance may repeat: its part of the slack, as all may repeat at the same time.
+// share returns what this instance may repeat now.
 func (r *Router) share() retry.Share {
-	c := &r.conf.Load().Retry
-	entries := max(1, len(r.spread.View().Instances))
-	return retry.Share{Ratio: c.Ratio * shareCare, Slack: c.Slack * shareCare / float64(entries), Window: c.Window.Std()}
+	return shareOf(&r.conf.Load().Retry, len(r.spread.View().Instances), clock.Since(r.born))
+}
+
+// shareOf returns what one of so many entries may repeat: its part of the slack, as all may repeat at the same time. One that has
+// started less than a window ago gets none of it, as it does not know what it repeated before.
+func shareOf(c *conf.Retry, entries int, up time.Duration) retry.Share {
+	s := retry.Share{Ratio: c.Ratio * shareCare, Window: c.Window.Std()}
+	if up >= s.Window {
+		s.Slack = c.Slack * shareCare / float64(max(1, entries))
+	}
+	return s
 }
 
 func (r *Router) gauges(ctx context.Context) {
