conf: name all faults of a settings file at once

A check stopped at the first fault. Now each unknown key and the first fault of each section is named, by line.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -48,6 +49,9 @@
 		Reason string
 	}
 
+	// Problems are the faults of a settings file, in the order of its lines.
+	Problems []*Problem
+
 	// section is a part of the settings that checks itself; its problems name keys within it.
 	section interface {
 		check(mode string) (key string, err error)
@@ -59,6 +63,15 @@
 	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Key, p.Reason)
 }
 
+// Error returns the problems, one a line.
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
 // Default returns the settings that hold where a file says nothing.
 func Default() Conf {
 	return Conf{
@@ -72,7 +85,7 @@
 	}
 }
 
-// Load reads and checks a settings file; a fault in its text is a *Problem.
+// Load reads and checks a settings file; faults in its text are Problems.
 func Load(file string) (Conf, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -81,24 +94,38 @@
 	return Parse(file, text)
 }
 
-// Parse decodes and checks the text of a settings file; a fault is a *Problem.
+// Parse decodes and checks the text of a settings file; its faults are Problems.
 func Parse(file string, text []byte) (Conf, error) {
 	c := Default()
 	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := d.Decode(&c); err != nil {
-		return c, place(file, err)
+	err := d.Decode(&c)
+	var found Problems
+	var strict *toml.StrictMissingError
+	switch {
+	case errors.As(err, &strict):
+		for i := range strict.Errors {
+			line, _ := strict.Errors[i].Position()
+			found = append(found, &Problem{File: file, Line: line, Key: strings.Join(strict.Errors[i].Key(), "."), Reason: "unknown key"})
+		}
+	case err != nil:
+		// What follows a fault in the text cannot be told.
+		return c, Problems{place(file, err)}
+	}
+	for _, p := range c.check() {
+		p.File, p.Line = file, lineOf(string(text), p.Key)
+		found = append(found, p)
 	}
-	if p := c.check(); p != nil {
-		p.File = file
-		p.Line = lineOf(string(text), p.Key)
-		return c, p
+	if len(found) > 0 {
+		slices.SortStableFunc(found, func(x, y *Problem) int { return x.Line - y.Line })
+		return c, found
 	}
 	return c, nil
 }
 
-func (c *Conf) check() *Problem {
+// check returns the first fault of each section.
+func (c *Conf) check() (found Problems) {
 	if c.Mode != ModeContracts && c.Mode != ModeRoutes {
-		return &Problem{Key: "mode", Reason: "must be \"contracts\" or \"routes\""}
+		return Problems{{Key: "mode", Reason: "must be \"contracts\" or \"routes\""}}
 	}
 	parts := []struct {
 		name string
@@ -109,19 +136,14 @@
 	}
 	for _, p := range parts {
 		if key, err := p.sec.check(c.Mode); err != nil {
-			return &Problem{Key: p.name + "." + key, Reason: err.Error()}
+			found = append(found, &Problem{Key: p.name + "." + key, Reason: err.Error()})
 		}
 	}
-	return nil
+	return found
 }
 
 // place turns a decoder's error into a problem with its line and key.
-func place(file string, err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		line, _ := strict.Errors[0].Position()
-		return &Problem{File: file, Line: line, Key: strings.Join(strict.Errors[0].Key(), "."), Reason: "unknown key"}
-	}
+func place(file string, err error) *Problem {
 	var bad *toml.DecodeError
 	if errors.As(err, &bad) {
 		line, _ := bad.Position()
