router, picker: spread heartbeats over the replicas; bound what one instance takes on

All heartbeats went to the leader, about 4,000 connections there; a new leader asked 3,000 engines for their caches at once. Ruled out: connections between instances (one or two for each pair). Change: a replica names itself for the next heartbeat, acknowledges what tells nothing new, and reports who was heard every half second; while the leader does not take these reports it passes heartbeats on one by one. At most 3,000 connections of operators and endpoints at an instance, 64 engines asked at once.

--- a/internal/picker/desk.go
+++ b/internal/picker/desk.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
@@ -23,6 +24,8 @@
 	// tellEvery is the least time between two times that an entry is told the loads of a service; it needs them only while the
 	// leader does not answer.
 	tellEvery = time.Second
+	// learners is the number of engines that are asked for their caches at once.
+	learners = 64
 	// learnTimeout is how long an engine may take to tell what it has in its cache.
 	learnTimeout = time.Second
 )
@@ -166,29 +169,39 @@
 
 // learn asks engines that are new to this board what they have in their caches, as they may have run for long.
 func (d *Desk) learn(engines []roster.Endpoint) {
+	if len(engines) == 0 {
+		return
+	}
 	board := d.board
-	for _, e := range engines {
-		d.wg.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), learnTimeout)
-			defer cancel()
-			parts, err := d.opt.Engines.Cached(ctx, e.Addr)
-			if err != nil {
-				d.opt.Log.Warn("cache of engine not learned", zap.String("endpoint", e.ID), zap.Error(err))
-				return
-			}
-			d.mu.Lock()
-			board.Cached(e.ID, parts)
-			d.mu.Unlock()
-			d.opt.Log.Info("cache of engine learned", zap.String("endpoint", e.ID), zap.Int("parts", len(parts)))
-		})
+	asks := pool.New().WithMaxGoroutines(learners)
+	d.wg.Go(func() {
+		for _, e := range engines {
+			asks.Go(func() { d.learnOne(board, e) })
+		}
+		asks.Wait()
+	})
+}
+
+// learnOne asks one engine for its cache.
+func (d *Desk) learnOne(board *place.Board, e roster.Endpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), learnTimeout)
+	defer cancel()
+	parts, err := d.opt.Engines.Cached(ctx, e.Addr)
+	if err != nil {
+		d.opt.Log.Warn("cache of engine not learned", zap.String("endpoint", e.ID), zap.Error(err))
+		return
 	}
+	d.mu.Lock()
+	board.Cached(e.ID, parts)
+	d.mu.Unlock()
+	d.opt.Log.Info("cache of engine learned", zap.String("endpoint", e.ID), zap.Int("parts", len(parts)))
 }
 
-// Heard notes that an endpoint was heard.
-func (d *Desk) Heard(id string) {
+// Heard notes that an endpoint was heard at a time.
+func (d *Desk) Heard(at time.Time, id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.board.Heard(d.opt.Now(), id)
+	d.board.Heard(d.opt.Now(), at, id)
 }
 
 // Run keeps the board until the context ends.
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -422,9 +422,9 @@
 	return b.runs[run] != nil
 }
 
-// Heard notes that an endpoint was heard after its failures, so that a restarted one is used again.
-func (b *Board) Heard(now time.Time, id string) {
-	if l := b.loads[id]; l != nil {
+// Heard notes that an endpoint was heard at a time, so that one that has failed before is used again.
+func (b *Board) Heard(now, at time.Time, id string) {
+	if l := b.loads[id]; l != nil && at.After(l.troubleAt) {
 		l.trouble, l.troubleAt = min(l.troubles(now), 1), now
 	}
 }
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/clock"
 	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
-	"github.com/greengagewheel/greengagewheel/internal/fault"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
 	"github.com/greengagewheel/greengagewheel/internal/quorum"
@@ -26,6 +26,13 @@
 	// lostAfter is the silence after which an endpoint is taken out; one that is only cut off from the replicas may still
 	// serve, so this is long, and entries find dead ones by themselves.
 	lostAfter = 30 * time.Second
+	// heardEvery is the time between two reports to the leader of which endpoints were heard here.
+	heardEvery = 500 * time.Millisecond
+	// heardStale is the age of the last report that the leader took at which announcements are passed on to it one by one, so that
+	// endpoints turn to another replica where this one is cut off.
+	heardStale = 3 * time.Second
+	// maxHeard bounds the endpoints of one report; the rest goes with the next.
+	maxHeard = 4096
 	// announceTimeout is how long the leader may take to take in an announcement.
 	announceTimeout = 800 * time.Millisecond
 )
@@ -42,19 +49,23 @@
 		Exit(ctx context.Context, x roster.Exit) error
 	}
 
-	// control serves operators and endpoints on a replica.
+	// control serves operators and endpoints on a replica. Heard is when the leader heard each endpoint in a term; Here are those
+	// heard on this replica that the leader was not told of yet, and reported is when it was told last.
 	control struct {
-		r     *Router
-		port  uint16
-		mu    sync.Mutex
-		heard map[string]time.Time
-		term  uint64
+		r        *Router
+		port     uint16
+		mu       sync.Mutex
+		heard    map[string]time.Time
+		term     uint64
+		here     map[string]bool
+		reported time.Time
 	}
 
 	// word is what a replica that does not lead passes on to the leader.
 	word struct {
 		Endpoint *roster.Endpoint `json:"endpoint,omitempty"`
 		Exit     *roster.Exit     `json:"exit,omitempty"`
+		Heard    []string         `json:"heard,omitempty"`
 	}
 
 	// heeded answers a word; with Leads unset it was not taken in.
@@ -65,7 +76,7 @@
 )
 
 func newControl(r *Router, c *conf.Conf) *control {
-	return &control{r: r, port: c.Listen.Operators.Port(), heard: map[string]time.Time{}}
+	return &control{r: r, port: c.Listen.Operators.Port(), heard: map[string]time.Time{}, here: map[string]bool{}}
 }
 
 // Replace commits a routing table.
@@ -86,13 +97,58 @@
 	return v.Document, err
 }
 
-// Announce has the leader take in an announcement, and returns the leader's operators' address for the next one.
+// Announce takes in an announcement, and returns the operators' address for the next one: that of this replica, so that endpoints
+// stay spread over all. What tells nothing new is only reported to the leader, with others.
 func (c *control) Announce(ctx context.Context, e roster.Endpoint) (netip.AddrPort, error) {
-	leader, err := c.tell(ctx, word{Endpoint: &e})
-	if err != nil {
+	own := netip.AddrPortFrom(c.r.self.Addr.Addr(), c.port)
+	if !c.r.machine.News(e) && c.known(&e) && c.note(clock.Now(), e.ID) {
+		return own, nil
+	}
+	if _, err := c.tell(ctx, word{Endpoint: &e}); err != nil {
 		return netip.AddrPort{}, err
 	}
-	return netip.AddrPortFrom(leader.Addr(), c.port), nil
+	return own, nil
+}
+
+// known reports whether an endpoint's service is in the routing table, or there is no table yet.
+func (c *control) known(e *roster.Endpoint) bool {
+	t := c.r.spread.View().Table
+	return t.Version() == 0 || t.Service(e.Service) != nil
+}
+
+// note enters an endpoint that was heard here for the next report, and reports whether the leader takes these.
+func (c *control) note(now time.Time, id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.reported) > heardStale {
+		return false
+	}
+	c.here[id] = true
+	return true
+}
+
+// report tells the leader which endpoints were heard here.
+func (c *control) report(ctx context.Context) {
+	c.mu.Lock()
+	ids := make([]string, 0, len(c.here))
+	for id := range c.here {
+		if len(ids) < maxHeard {
+			ids = append(ids, id)
+			delete(c.here, id)
+		}
+	}
+	c.mu.Unlock()
+	_, err := c.tell(ctx, word{Heard: ids})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.reported = clock.Now()
+		return
+	}
+	c.r.log.Debug("endpoints heard here not reported", zap.Error(err))
+	for _, id := range ids {
+		c.here[id] = true
+	}
 }
 
 // Exit has the leader take an endpoint out.
@@ -141,12 +197,16 @@
 		c.r.log.Info("endpoint left", zap.String("endpoint", w.Exit.ID), zap.Int64("born", w.Exit.Born), zap.Error(err))
 		return heeded{Leads: true}, err
 	}
-	return heeded{}, fault.New("take in", "", "empty word")
+	at := clock.Now().Add(-heardEvery)
+	for _, id := range w.Heard {
+		c.hear(at, id)
+	}
+	return heeded{Leads: true}, nil
 }
 
 // announced commits what an announcement tells that is new, and notes that the endpoint was heard.
 func (c *control) announced(ctx context.Context, e roster.Endpoint) (heeded, error) {
-	if t := c.r.spread.View().Table; t.Version() > 0 && t.Service(e.Service) == nil {
+	if !c.known(&e) {
 		c.r.log.Warn("announcement refused", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.Stringer("address", e.Addr))
 		return heeded{Leads: true, Foreign: true}, nil
 	}
@@ -157,11 +217,16 @@
 		c.r.log.Info("endpoint announced", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.Stringer("address", e.Addr),
 			zap.String("state", string(e.State)), zap.Int64("born", e.Born))
 	}
+	c.hear(clock.Now(), e.ID)
+	return heeded{Leads: true}, nil
+}
+
+// hear notes on the leader that an endpoint was heard at a time or later.
+func (c *control) hear(at time.Time, id string) {
 	c.mu.Lock()
-	c.heard[e.ID] = clock.Now()
+	c.heard[id] = at
 	c.mu.Unlock()
-	c.r.desk.Heard(e.ID)
-	return heeded{Leads: true}, nil
+	c.r.desk.Heard(at, id)
 }
 
 func (c *control) commit(ctx context.Context, cmd ctrl.Command) error {
@@ -174,8 +239,11 @@
 	return err
 }
 
-// run takes out endpoints that are silent for long, where this instance leads.
+// run reports the endpoints that were heard here, and takes out those that are silent for long where this instance leads.
 func (c *control) run(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { pace.Every(ctx, heardEvery, func() { c.report(ctx) }) })
 	pace.Every(ctx, sweepEvery, func() {
 		if !c.r.leads() {
 			return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,6 +40,9 @@
 	idleTimeout = 60 * time.Second
 	// maxHeader bounds a caller's header, in bytes.
 	maxHeader = 64 << 10
+	// maxOperators bounds the connections of operators and endpoints, below the number of files that a small machine allows; who
+	// comes beyond it is told to use another replica.
+	maxOperators = 3000
 	// maxBody bounds the body of an operator's call, in bytes.
 	maxBody = 32 << 20
 	// memoryPart is the part of the allowed memory beyond which garbage is collected more often.
@@ -250,7 +253,9 @@
 }
 
 func newApp() *fiber.App {
-	return fiber.New(fiber.Config{BodyLimit: maxBody, Immutable: true, DisableStartupMessage: true, IdleTimeout: idleTimeout, ReadTimeout: idleTimeout})
+	return fiber.New(fiber.Config{
+		BodyLimit: maxBody, Concurrency: maxOperators, Immutable: true, DisableStartupMessage: true, IdleTimeout: idleTimeout, ReadTimeout: idleTimeout,
+	})
 }
 
 func (r *Router) peerRoutes(c *conf.Conf) http.Handler {
