place, router: find a prompt's place once a placement; a word's answer without its unused address

Reading the change again: the engines that have a prompt were looked through once to choose an engine and once more to enter the run, with the same result; the address that telling the leader returned has had no reader since replicas name themselves. No behaviour is meant to change.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -169,11 +169,12 @@
 	if l := b.runs[q.Run]; l != nil {
 		return l.choice(l.runs[q.Run], usable-1), true
 	}
-	best := b.best(now, &q)
+	p := b.prompt(&q)
+	best := b.best(now, &q, p)
 	if best == nil {
 		return Choice{}, false
 	}
-	return best.choice(b.enter(now, best, q), usable-1), true
+	return best.choice(b.enter(now, best, q, p), usable-1), true
 }
 
 // usable returns the number of endpoints that could take a request.
@@ -192,11 +193,10 @@
 }
 
 // best returns the endpoint that suits a request best, or nil.
-func (b *Board) best(now time.Time, q *Request) *load {
+func (b *Board) best(now time.Time, q *Request, p prompt) *load {
 	var best *load
 	var bestCost time.Duration
 	apart := b.demandOf(q.Service).apart(len(b.services[q.Service]), b.spare)
-	p := b.prompt(q)
 	for i, l := range b.services[q.Service] {
 		if !l.takes(q) {
 			continue
@@ -216,8 +216,8 @@
 	}
 }
 
-func (b *Board) enter(now time.Time, l *load, q Request) *run {
-	need, moved, source := l.work(&q, b.prompt(&q))
+func (b *Board) enter(now time.Time, l *load, q Request, p prompt) *run {
+	need, moved, source := l.work(&q, p)
 	r := &run{q: q, need: need, moved: moved, began: now, expected: l.expect(now, need, moved), alone: l.reading == nil}
 	if source != nil {
 		r.source = source.ep.Addr
@@ -320,7 +320,7 @@
 	if e.Start != nil {
 		b.Cancel(e.Run)
 		if l := b.loads[e.At]; l != nil {
-			b.enter(now, l, *e.Start)
+			b.enter(now, l, *e.Start, b.prompt(e.Start))
 		}
 	}
 	l := b.runs[e.Run]
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -104,7 +104,7 @@
 	if !c.r.machine.News(e) && c.known(&e) && c.note(clock.Now(), e.ID) {
 		return own, nil
 	}
-	if _, err := c.tell(ctx, word{Endpoint: &e}); err != nil {
+	if err := c.tell(ctx, word{Endpoint: &e}); err != nil {
 		return netip.AddrPort{}, err
 	}
 	return own, nil
@@ -138,7 +138,7 @@
 		}
 	}
 	c.mu.Unlock()
-	_, err := c.tell(ctx, word{Heard: ids})
+	err := c.tell(ctx, word{Heard: ids})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err == nil {
@@ -153,23 +153,22 @@
 
 // Exit has the leader take an endpoint out.
 func (c *control) Exit(ctx context.Context, x roster.Exit) error {
-	_, err := c.tell(ctx, word{Exit: &x})
-	return err
+	return c.tell(ctx, word{Exit: &x})
 }
 
-// tell has the leader take in a word, and returns its peers' address.
-func (c *control) tell(ctx context.Context, w word) (netip.AddrPort, error) {
+// tell has the leader take in a word.
+func (c *control) tell(ctx context.Context, w word) error {
 	if c.r.leads() {
 		h, err := c.serve(ctx, w)
-		return c.r.self.Addr, heed(h, err)
+		return heed(h, err)
 	}
 	leader := c.r.group.LeaderAddr()
 	if !leader.IsValid() {
-		return leader, errNoLeader
+		return errNoLeader
 	}
 	var h heeded
 	err := c.r.links.Call(ctx, leader, peer.Announce, announceTimeout, w, &h)
-	return leader, heed(h, err)
+	return heed(h, err)
 }
 
 func heed(h heeded, err error) error {
