proxy: log how an answer was framed and what was left of its last event

No line told whether the endpoint's answer had a length, chunks or neither, nor whether it ended inside an event, so two hypotheses could not be told apart.

Change: 'request ended' and 'endpoint failed' have the fields framing and partial. What is forwarded stays as it is.

Checked: go test ./internal/proxy.

--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -138,7 +138,7 @@
 
 // Release ends a call whose response was read completely and returns the connection to its pool if it can be reused.
 func (call *Call) Release(now time.Time, resp *http.Response, idleTimeout time.Duration) {
-	if !call.stopCancel() || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if !call.stopCancel() || resp.Close || FramingOf(resp) == FramedByConnection {
 		_ = call.conn.TCPConn.Close()
 		return
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -287,6 +287,9 @@
 		info = req.proxy.opt.Dialect.DecodeResponse(resp.StatusCode, resp.Header)
 		return info.ID == req.caller.ID || info.ID == "" && (info.NotRun || info.Misdirected)
 	})
+	if err == nil {
+		req.framing = egress.FramingOf(resp)
+	}
 	return resp, info, err
 }
 
@@ -333,7 +336,7 @@
 	req.proxy.opt.Chooser.RecordOutcome(req.attemptID, outcome)
 	retry := req.mayRetry()
 	req.log.Warn("endpoint failed", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Bool("reused", call.Reused()),
-		zap.Bool("again", retry), zap.Error(err))
+		zap.Bool("again", retry), zap.String("framing", string(req.framing)), zap.Int("partial", req.partialBytes), zap.Error(err))
 	return attemptResult{retry: retry, rejection: rej}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -119,6 +119,10 @@
 		// maxGap is the longest time between two writes of a stream to the caller, eventCount the number of its events.
 		maxGap     time.Duration
 		eventCount int
+		// framing is that of the latest endpoint's response.
+		framing egress.Framing
+		// partialBytes is the size of the event in which the endpoint's stream ended, or 0.
+		partialBytes int
 		// retryAfter is the Retry-After sent to the caller, or 0.
 		retryAfter time.Duration
 	}
@@ -351,7 +355,8 @@
 	req.log.Info("request ended", zap.String("outcome", outcome), zap.Int("status", status), zap.String("route", routeName),
 		zap.String("organisation", req.organisationName()), zap.Int("tries", req.attempts), zap.Int("sent", req.sentCount),
 		zap.Duration("first", req.firstByteTime),
-		zap.Int("events", req.eventCount), zap.Duration("gap", req.maxGap), zap.Duration("took", took),
+		zap.Int("events", req.eventCount), zap.Duration("gap", req.maxGap), zap.String("framing", string(req.framing)),
+		zap.Int("partial", req.partialBytes), zap.Duration("took", took),
 		zap.Duration("retry_after", req.retryAfter),
 		zap.Uint64("table", req.tableVersion))
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -175,6 +175,7 @@
 				return writeErr
 			}
 		}
+		s.req.partialBytes = len(s.buffered)
 		if errors.Is(err, io.EOF) {
 			return s.forwardRemainder()
 		}
