proxy: forward events whose lines end with CRLF or CR as they arrive

What callers saw: a stream with CRLF or CR line endings came only once it had ended, or broke off at 1 MiB. When it broke, what the caller had already got was not dropped from the resumed stream, and it resumed from the start.

Cause: the end of an event was looked for as two LF.

Why this works: package answer finds the blank line behind an event by any of the three line endings. A CR at the end of the data counts only if the lines before end with CR alone; else the LF may be on its way.

--- a/internal/egress/framing.go
+++ b/internal/answer/framing.go
@@ -1,4 +1,4 @@
-package egress
+package answer
 
 import "net/http"
 
--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
 )
 
@@ -138,7 +139,7 @@
 
 // Release ends a call whose response was read completely and returns the connection to its pool if it can be reused.
 func (call *Call) Release(now time.Time, resp *http.Response, idleTimeout time.Duration) {
-	if !call.stopCancel() || resp.Close || FramingOf(resp) == FramedByConnection {
+	if !call.stopCancel() || resp.Close || answer.FramingOf(resp) == answer.FramedByConnection {
 		_ = call.conn.TCPConn.Close()
 		return
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/place"
@@ -288,7 +289,7 @@
 		return info.ID == req.caller.ID || info.ID == "" && (info.NotRun || info.Misdirected)
 	})
 	if err == nil {
-		req.framing = egress.FramingOf(resp)
+		req.framing = answer.FramingOf(resp)
 	}
 	return resp, info, err
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/meter"
@@ -120,7 +121,7 @@
 		maxGap     time.Duration
 		eventCount int
 		// framing is that of the latest endpoint's response.
-		framing egress.Framing
+		framing answer.Framing
 		// partialBytes is the size of the event in which the endpoint's stream ended, or 0.
 		partialBytes int
 		// retryAfter is the Retry-After sent to the caller, or 0.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 )
@@ -29,9 +29,6 @@
 	errEventOrder    = errors.New("the events of the stream are out of order")
 	errEventTooLarge = errors.New("an event of the stream is too large")
 	errCallerWrite   = errors.New("the caller does not take the stream")
-	newline          = []byte("\n")
-	idPrefix         = []byte("id:")
-	eventSeparator   = []byte("\n\n")
 )
 
 // streamRelay forwards one event stream to the caller. Several endpoints may produce it in turn.
@@ -187,14 +184,13 @@
 
 // forwardComplete forwards the complete events received so far.
 func (s *streamRelay) forwardComplete() error {
-	end := bytes.LastIndex(s.buffered, eventSeparator)
-	if end < 0 {
+	end := eventsEnd(s.buffered)
+	if end == 0 {
 		if len(s.buffered) > maxEventBytes {
 			return errEventTooLarge
 		}
 		return nil
 	}
-	end += len(eventSeparator)
 	complete, err := s.dropRepeated(s.buffered[:end])
 	if err != nil {
 		return err
@@ -208,6 +204,18 @@
 	return nil
 }
 
+// eventsEnd returns the length of the complete events at the start of data.
+func eventsEnd(data []byte) int {
+	end := 0
+	for {
+		length := answer.EventEnd(data[end:])
+		if length < 0 {
+			return end
+		}
+		end += length
+	}
+}
+
 // forwardRemainder forwards the data after the last complete event of a complete stream.
 func (s *streamRelay) forwardRemainder() error {
 	if len(s.buffered) == 0 {
@@ -221,8 +229,8 @@
 	out := complete[:0:0]
 	keepFrom := 0
 	for pos := 0; pos < len(complete); {
-		end := pos + bytes.Index(complete[pos:], eventSeparator) + len(eventSeparator)
-		id, ok := eventID(complete[pos:end])
+		end := pos + answer.EventEnd(complete[pos:])
+		id, ok := answer.EventID(complete[pos:end])
 		switch {
 		case ok && s.lastID >= 0 && id > s.lastID+1:
 			return nil, errEventOrder
@@ -241,17 +249,6 @@
 	return append(out, complete[keepFrom:]...), nil
 }
 
-// eventID returns the ID of an event, if it has one.
-func eventID(event []byte) (int64, bool) {
-	for line := range bytes.SplitSeq(event, newline) {
-		if rest, ok := bytes.CutPrefix(line, idPrefix); ok {
-			id, err := strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64)
-			return id, err == nil
-		}
-	}
-	return 0, false
-}
-
 func (s *streamRelay) write(b []byte) error {
 	s.sendHeader()
 	now := s.req.proxy.opt.Now()
