proxy: break off streams that end inside an event

A route's resumable stream was not resumed.

Cause: the entry took the end of the response body for the end of the stream. A body without a length or chunks ends with its connection, also where the endpoint broke off; the entry forwarded the part of the event and ended its own chunked answer, which told the caller that nothing was missing.

Why this works: the end of a body is no longer enough. A stream is complete if it ends between events; one framed by its connection also needs an event, and must not end inside a line. Otherwise it goes the way of every broken stream: resumed after the last whole event where the route allows it, else the caller's connection is closed without the final chunk, or it gets a 502 if nothing was sent yet. A JSON document on a route of streams is no event stream and is forwarded as any other answer.

--- a/internal/answer/event.go
+++ b/internal/answer/event.go
@@ -8,6 +8,7 @@
 const (
 	lineFeed       = '\n'
 	carriageReturn = '\r'
+	commentStart   = ':'
 )
 
 var idField = []byte("id:")
@@ -64,3 +65,15 @@
 	}
 	return length, 0
 }
+
+// HasFields reports whether data has a line that is neither blank nor a comment, complete or not.
+func HasFields(data []byte) bool {
+	for len(data) > 0 {
+		length, ending := nextLine(data, true)
+		if length > 0 && data[0] != commentStart {
+			return true
+		}
+		data = data[length+ending:]
+	}
+	return false
+}
--- a/internal/answer/event_test.go
+++ b/internal/answer/event_test.go
@@ -30,3 +30,23 @@
 		}
 	})
 }
+
+// TestCheckStreamEnd guards against a cut stream that counts as complete, and against a complete one that counts as cut.
+func TestCheckStreamEnd(t *testing.T) {
+	Convey("A stream that ends inside an event was cut, whatever its framing", t, func() {
+		for _, framing := range []Framing{FramedByLength, FramedByChunks, FramedByConnection} {
+			for _, rest := range []string{"i", "id: 1", "id: 1\n", "data: x\r\n\r", "\ndata: x\n", ": note\ndata: x\n"} {
+				So(CheckStreamEnd(framing, true, []byte(rest)), ShouldEqual, ErrCutEvent)
+			}
+			for _, rest := range []string{"", "\n", "\r\n", ": note\n", ": note\r"} {
+				So(CheckStreamEnd(framing, true, []byte(rest)), ShouldBeNil)
+			}
+		}
+	})
+	Convey("Without a length or chunks, a stream without an event or with an unfinished comment was cut", t, func() {
+		So(CheckStreamEnd(FramedByConnection, false, nil), ShouldEqual, ErrNoEvent)
+		So(CheckStreamEnd(FramedByConnection, true, []byte(": no")), ShouldEqual, ErrCutLine)
+		So(CheckStreamEnd(FramedByChunks, false, nil), ShouldBeNil)
+		So(CheckStreamEnd(FramedByLength, true, []byte(": no")), ShouldBeNil)
+	})
+}
--- a/internal/answer/framing.go
+++ b/internal/answer/framing.go
@@ -1,6 +1,10 @@
 package answer
 
-import "net/http"
+import (
+	"mime"
+	"net/http"
+	"strings"
+)
 
 // Framings of a response.
 const (
@@ -23,3 +27,9 @@
 	}
 	return FramedByConnection
 }
+
+// IsJSON reports whether a response declares its body as a JSON document.
+func IsJSON(header http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && (mediaType == "application/json" || strings.HasSuffix(mediaType, "+json"))
+}
--- a/internal/proxy/cut_stream_test.go
+++ b/internal/proxy/cut_stream_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -79,4 +80,25 @@
 			So(resp.complete, ShouldBeFalse)
 		}
 	})
+	Convey("a stream whose connection ends inside CRLF endings or a comment is broken off", t, func() {
+		crlf := strings.ReplaceAll(whole, "\n", "\r\n")
+		for _, text := range []string{crlf[:len(crlf)-1], crlf[:len(crlf)-2], whole + ": no"} {
+			resp := newHarness(t, streamThenClose(text)).send(http.MethodPost, "/stream/", "x")
+			So(resp.complete, ShouldBeFalse)
+		}
+		for _, text := range []string{crlf, whole + ": note\n", whole + ": note\n\n", whole + "\n"} {
+			resp := newHarness(t, streamThenClose(text)).send(http.MethodPost, "/stream/", "x")
+			So(resp.complete, ShouldBeTrue)
+			So(resp.body, ShouldEqual, text)
+		}
+	})
+	Convey("a JSON answer on a route of streams is forwarded", t, func() {
+		h := newHarness(t, func(req receivedRequest, c net.Conn) bool {
+			writeResponse(c, req, http.StatusOK, `{"text":"all"}`, "Content-Type", "application/json; charset=utf-8")
+			return true
+		})
+		resp := h.send(http.MethodPost, "/stream/", "x")
+		So(resp.complete, ShouldBeTrue)
+		So(resp.body, ShouldEqual, `{"text":"all"}`)
+	})
 }
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -249,7 +249,7 @@
 	if err := call.SetReadTimeout(req.deadline.Sub(req.proxy.opt.Now())); err != nil {
 		return req.handleBroken(choice, call, err)
 	}
-	if req.route.Kind == table.Streaming && resp.StatusCode == http.StatusOK {
+	if req.route.Kind == table.Streaming && resp.StatusCode == http.StatusOK && !answer.IsJSON(resp.Header) {
 		return req.relayStream(choice, call, resp, info, start)
 	}
 	req.proxy.opt.Chooser.RecordFirstAnswer(req.attemptID, req.proxy.opt.Now().Sub(start))
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -42,6 +42,8 @@
 	lastID int64
 	// buffered holds the received data that was not forwarded yet.
 	buffered []byte
+	// anyEvent is set once the current endpoint has sent a complete event.
+	anyEvent bool
 }
 
 // relayStream forwards an event stream and resumes it on another endpoint where the route allows this.
@@ -49,7 +51,7 @@
 	start time.Time) attemptResult {
 	s := &streamRelay{req: req, controller: http.NewResponseController(req.writer), header: endToEnd(resp.Header), lastID: -1}
 	for {
-		err := s.relay(call, resp.Body, req.firstResponseTimeout(start, &choice), func() {
+		err := s.relay(call, resp, req.firstResponseTimeout(start, &choice), func() {
 			req.proxy.opt.Chooser.RecordFirstAnswer(req.attemptID, req.proxy.opt.Now().Sub(start))
 		})
 		if err == nil {
@@ -152,15 +154,15 @@
 
 // relay forwards complete events until the stream ends. It waits up to timeout for the first event and then calls
 // onFirst. A nil error means that the stream is complete.
-func (s *streamRelay) relay(call *egress.Call, body io.Reader, timeout time.Duration, onFirst func()) error {
-	s.buffered = s.buffered[:0]
+func (s *streamRelay) relay(call *egress.Call, resp *http.Response, timeout time.Duration, onFirst func()) error {
+	s.buffered, s.anyEvent = s.buffered[:0], false
 	buf := make([]byte, streamBufferBytes)
 	firstSeen := false
 	for {
 		if err := call.SetReadTimeout(timeout); err != nil {
 			return err
 		}
-		n, err := body.Read(buf)
+		n, err := resp.Body.Read(buf)
 		timeout = s.req.gapTimeout()
 		if n > 0 {
 			s.buffered = append(s.buffered, buf[:n]...)
@@ -174,7 +176,7 @@
 		}
 		s.req.partialBytes = len(s.buffered)
 		if errors.Is(err, io.EOF) {
-			return s.forwardRemainder()
+			return s.finishBody(answer.FramingOf(resp))
 		}
 		if err != nil {
 			return err
@@ -216,8 +218,11 @@
 	}
 }
 
-// forwardRemainder forwards the data after the last complete event of a complete stream.
-func (s *streamRelay) forwardRemainder() error {
+// finishBody forwards what follows the last event of a stream, or returns an error if the stream was cut.
+func (s *streamRelay) finishBody(framing answer.Framing) error {
+	if err := answer.CheckStreamEnd(framing, s.anyEvent, s.buffered); err != nil {
+		return err
+	}
 	if len(s.buffered) == 0 {
 		return nil
 	}
@@ -230,6 +235,7 @@
 	keepFrom := 0
 	for pos := 0; pos < len(complete); {
 		end := pos + answer.EventEnd(complete[pos:])
+		s.anyEvent = s.anyEvent || answer.HasFields(complete[pos:end])
 		id, ok := answer.EventID(complete[pos:end])
 		switch {
 		case ok && s.lastID >= 0 && id > s.lastID+1:
