egress: do not take bytes inside a skipped body for a response

What callers could see: the answer to a request was read from the middle of the body of an answer that was skipped; and a connection was kept for the next request while the rest of a refusal's body was still to come.

Cause: a skipped body was read up to 1 MiB, and reaching that limit counted as reaching its end.

Why this works: SkipBody reads one byte more than it allows and reports a body that goes on as an error, so that the connection is closed. The wait for a refusal's body is bounded to 50 ms, as the next attempt waits for it.

--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -21,8 +21,8 @@
 	// maxForeignResponses is the number of responses to other requests that are skipped before the connection is given
 	// up.
 	maxForeignResponses = 4
-	// maxForeignBodyBytes is the largest body of a skipped response, in bytes.
-	maxForeignBodyBytes = 1 << 20
+	// maxSkippedBodyBytes is the largest body of a skipped response, in bytes.
+	maxSkippedBodyBytes = 1 << 20
 	// bodyWriteGrace is how long to wait for the rest of the body to be written once the response is complete.
 	bodyWriteGrace = 50 * time.Millisecond
 )
@@ -30,6 +30,8 @@
 // ErrUnsent means that no byte of the request was written.
 var ErrUnsent = errors.New("nothing was sent to the endpoint")
 
+var errSkippedTooLarge = errors.New("the body to be skipped is too large")
+
 type (
 	// Request is a request to be written to a connection. Target is the request target as in the request line.
 	Request struct {
@@ -117,16 +119,32 @@
 		if belongs(resp) {
 			return resp, nil
 		}
-		if resp.Close || resp.ContentLength > maxForeignBodyBytes {
+		if resp.Close {
 			break
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBodyBytes)); err != nil {
-			return nil, fault.Wrap("skip response", call.conn.dest.Addr.String(), err)
+		if err := call.SkipBody(resp); err != nil {
+			return nil, err
 		}
 	}
 	return nil, fault.Errorf("read response", call.conn.dest.Addr.String(), "the responses belong to other requests")
 }
 
+// SkipBody reads a response's body to its end, after which the connection can be used again. An error means that the end was
+// not reached, or that the body is larger than 1 MiB.
+func (call *Call) SkipBody(resp *http.Response) error {
+	size, err := resp.ContentLength, error(nil)
+	if size <= maxSkippedBodyBytes {
+		size, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes+1))
+	}
+	if err == nil && size > maxSkippedBodyBytes {
+		err = errSkippedTooLarge
+	}
+	if err != nil {
+		return fault.Wrap("skip response", call.conn.dest.Addr.String(), err)
+	}
+	return nil
+}
+
 // SetReadTimeout sets the timeout for the next bytes of the response.
 func (call *Call) SetReadTimeout(timeout time.Duration) error {
 	return call.conn.SetReadDeadline(time.Now().Add(timeout))
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -36,6 +36,8 @@
 	callTimeoutFactor    = 3
 	streamTimeoutPercent = 150
 	streamTimeoutFactor  = 6
+	// refusalBodyTimeout bounds the wait for the body of a refusal, which is only read to keep the connection.
+	refusalBodyTimeout = 50 * time.Millisecond
 	// fullRetryAfter is the Retry-After when endpoints are at capacity.
 	fullRetryAfter = 500 * time.Millisecond
 	// unreachableMaxRetryAfter is the longest Retry-After when no endpoint of a service was reachable. A crashed
@@ -304,7 +306,12 @@
 // handleNotRun handles an endpoint's response that it has not run the request.
 func (req *request) handleNotRun(choice place.Choice, call *egress.Call, resp *http.Response, info ResponseInfo,
 	outcome place.Outcome) attemptResult {
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedResponseBytes)); err != nil {
+	err := call.SetReadTimeout(min(refusalBodyTimeout, req.deadline.Sub(req.proxy.opt.Now())))
+	if err == nil {
+		err = call.SkipBody(resp)
+	}
+	if err != nil {
+		req.log.Debug("rest of a refusal not read", zap.String("endpoint", choice.ID), zap.Error(err))
 		call.Abort()
 	} else {
 		call.Release(req.proxy.opt.Now(), resp, egress.IdleTimeout(info.IdleTimeout))
