proxy: forward the events before a gap in a stream's IDs

What callers could see: a resumed stream, framed as complete, without some of its events.

Cause: events that came in one read with a gap in the IDs were counted as forwarded and then dropped with the gap, so that the stream resumed after them. Found by reading all places that decide from where a stream goes on.

Why this works: the events are taken one at a time; those before the gap are forwarded before the error is returned, so lastID is again the last event that the caller has. Each event is now looked for once, in the whole buffer: where line endings are mixed, a CR at the end of a cut-out part was ambiguous.

--- a/internal/answer/event_test.go
+++ b/internal/answer/event_test.go
@@ -23,6 +23,11 @@
 			So(id, ShouldEqual, 7)
 		})
 	}
+	Convey("An event may end with another line ending than its lines", t, func() {
+		So(EventEnd([]byte("data: x\n\rdata: y\n\n")), ShouldEqual, len("data: x\n\r"))
+		So(EventEnd([]byte("data: x\r\n\ndata: y\n\n")), ShouldEqual, len("data: x\r\n\n"))
+		So(EventEnd([]byte("data: x\r\n\r")), ShouldEqual, -1)
+	})
 	Convey("An event without a usable id has none", t, func() {
 		for _, event := range []string{"", "\n", "data: id: 4\n\n", "id: x\n\n", "id:\n\n"} {
 			_, ok := EventID([]byte(event))
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -42,6 +42,8 @@
 	lastID int64
 	// buffered holds the received data that was not forwarded yet.
 	buffered []byte
+	// fresh holds the events to be forwarded next.
+	fresh []byte
 	// anyEvent is set once the current endpoint has sent a complete event.
 	anyEvent bool
 }
@@ -184,40 +186,58 @@
 	}
 }
 
-// forwardComplete forwards the complete events received so far.
+// forwardComplete forwards the complete events received so far, up to the first one whose ID is not the next.
 func (s *streamRelay) forwardComplete() error {
-	end := eventsEnd(s.buffered)
-	if end == 0 {
-		if len(s.buffered) > maxEventBytes {
-			return errEventTooLarge
-		}
-		return nil
-	}
-	complete, err := s.dropRepeated(s.buffered[:end])
-	if err != nil {
-		return err
+	size, orderErr := s.takeComplete()
+	if size == 0 && len(s.buffered) > maxEventBytes {
+		return errEventTooLarge
 	}
-	if len(complete) > 0 {
-		if err := s.write(complete); err != nil {
+	if len(s.fresh) > 0 {
+		if err := s.write(s.fresh); err != nil {
 			return err
 		}
 	}
-	s.buffered = append(s.buffered[:0], s.buffered[end:]...)
-	return nil
+	s.buffered = append(s.buffered[:0], s.buffered[size:]...)
+	return orderErr
 }
 
-// eventsEnd returns the length of the complete events at the start of data.
-func eventsEnd(data []byte) int {
-	end := 0
+// takeComplete copies the complete events to fresh, without those that the caller already has, and returns the size of all.
+func (s *streamRelay) takeComplete() (size int, err error) {
+	s.fresh = s.fresh[:0]
 	for {
-		length := answer.EventEnd(data[end:])
+		length := answer.EventEnd(s.buffered[size:])
 		if length < 0 {
-			return end
+			return size, nil
+		}
+		event := s.buffered[size : size+length]
+		repeated, err := s.checkOrder(event)
+		if err != nil {
+			return size, err
+		}
+		if !repeated {
+			s.fresh = append(s.fresh, event...)
 		}
-		end += length
+		size += length
 	}
 }
 
+// checkOrder reports whether the caller already has an event, or returns an error if events before it are missing.
+func (s *streamRelay) checkOrder(event []byte) (repeated bool, err error) {
+	s.anyEvent = s.anyEvent || answer.HasFields(event)
+	id, ok := answer.EventID(event)
+	switch {
+	case !ok:
+		return false, nil
+	case id <= s.lastID:
+		return true, nil
+	case s.lastID >= 0 && id > s.lastID+1:
+		return false, errEventOrder
+	}
+	s.lastID = id
+	s.req.eventCount++
+	return false, nil
+}
+
 // finishBody forwards what follows the last event of a stream, or returns an error if the stream was cut.
 func (s *streamRelay) finishBody(framing answer.Framing) error {
 	if err := answer.CheckStreamEnd(framing, s.anyEvent, s.buffered); err != nil {
@@ -229,32 +249,6 @@
 	return s.write(s.buffered)
 }
 
-// dropRepeated checks that event IDs are consecutive and drops events that the caller already has.
-func (s *streamRelay) dropRepeated(complete []byte) ([]byte, error) {
-	out := complete[:0:0]
-	keepFrom := 0
-	for pos := 0; pos < len(complete); {
-		end := pos + answer.EventEnd(complete[pos:])
-		s.anyEvent = s.anyEvent || answer.HasFields(complete[pos:end])
-		id, ok := answer.EventID(complete[pos:end])
-		switch {
-		case ok && s.lastID >= 0 && id > s.lastID+1:
-			return nil, errEventOrder
-		case ok && id <= s.lastID:
-			out = append(out, complete[keepFrom:pos]...)
-			keepFrom = end
-		case ok:
-			s.lastID = id
-			s.req.eventCount++
-		}
-		pos = end
-	}
-	if keepFrom == 0 {
-		return complete, nil
-	}
-	return append(out, complete[keepFrom:]...), nil
-}
-
 func (s *streamRelay) write(b []byte) error {
 	s.sendHeader()
 	now := s.req.proxy.opt.Now()
