answer: a JSON document or event stream cut with its connection is no answer

What callers could see: a part of a JSON document or of an event stream, with a length that told that it was whole, on routes and at the product's own calls. A call that may not be repeated would have kept the part as its answer.

A body without a length or chunks that ends with its connection was whole by definition, for every reader that reads an answer to its end before it passes it on.

Why this works: such a body is complete only if its content does not speak against it: a declared JSON document must be one, an event stream must end between events. Else the attempt broke off: it is sent again where it may be, and else its outcome is unknown. Other media types tell nothing of their end; there the end of the connection counts, and a reset does not. An answer without a body (HEAD, 204) has nothing to be cut.

--- a/internal/answer/end.go
+++ b/internal/answer/end.go
@@ -1,12 +1,17 @@
 package answer
 
-import "errors"
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+)
 
 // Signs that an answer was cut, although its framing ended as that of a complete one.
 var (
 	ErrCutEvent = errors.New("the stream ended inside an event")
 	ErrCutLine  = errors.New("the stream ended inside a line")
 	ErrNoEvent  = errors.New("the connection ended before the first event")
+	ErrCutJSON  = errors.New("the connection ended inside a JSON document")
 )
 
 // CheckStreamEnd returns an error if an event stream was cut. rest is the data after its last complete event, and anyEvent is
@@ -24,3 +29,21 @@
 	}
 	return nil
 }
+
+// CheckBody returns an error if a body that was read to its end was cut. Only a body that is framed by its connection can be, and
+// only JSON documents and event streams show it.
+func CheckBody(framing Framing, header http.Header, body []byte) error {
+	switch {
+	case framing != FramedByConnection:
+		return nil
+	case IsJSON(header) && !json.Valid(body):
+		return ErrCutJSON
+	case mediaType(header) == eventStreamType:
+		end := 0
+		for length := EventEnd(body); length >= 0; length = EventEnd(body[end:]) {
+			end += length
+		}
+		return CheckStreamEnd(framing, HasFields(body[:end]), body[end:])
+	}
+	return nil
+}
--- a/internal/answer/framing.go
+++ b/internal/answer/framing.go
@@ -13,6 +13,13 @@
 	FramedByConnection Framing = "connection"
 )
 
+// Media types whose bodies show whether they are whole.
+const (
+	eventStreamType = "text/event-stream"
+	jsonType        = "application/json"
+	jsonSuffix      = "+json"
+)
+
 // Framing is how a response shows where its body ends.
 type Framing string
 
@@ -22,7 +29,7 @@
 	switch {
 	case len(resp.TransferEncoding) > 0:
 		return FramedByChunks
-	case resp.ContentLength >= 0:
+	case resp.ContentLength >= 0, resp.Body == http.NoBody:
 		return FramedByLength
 	}
 	return FramedByConnection
@@ -30,6 +37,15 @@
 
 // IsJSON reports whether a response declares its body as a JSON document.
 func IsJSON(header http.Header) bool {
-	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
-	return err == nil && (mediaType == "application/json" || strings.HasSuffix(mediaType, "+json"))
+	name := mediaType(header)
+	return name == jsonType || strings.HasSuffix(name, jsonSuffix)
+}
+
+// mediaType returns the media type of a body without its parameters, in lower case, or "".
+func mediaType(header http.Header) string {
+	name, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return name
 }
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -367,6 +367,9 @@
 		resp.Body = readCloser{io.MultiReader(&buf, resp.Body), resp.Body}
 		return req.relayUnbuffered(choice, call, resp, info)
 	}
+	if err := answer.CheckBody(req.framing, resp.Header, buf.Bytes()); err != nil {
+		return req.handleBroken(choice, call, err)
+	}
 	buffered := &bufferedResponse{status: resp.StatusCode, header: endToEnd(resp.Header), body: buf.Bytes()}
 	call.Release(req.proxy.opt.Now(), resp, egress.IdleTimeout(info.IdleTimeout))
 	if buffered.status < http.StatusInternalServerError && !impliesNotRun(buffered.status) {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"sync/atomic"
 
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
 )
 
@@ -103,6 +104,9 @@
 	if len(body) > maxReplyBytes {
 		return Reply{}, errReplyTooLarge
 	}
+	if err := answer.CheckBody(answer.FramingOf(resp), resp.Header, body); err != nil {
+		return Reply{}, err
+	}
 	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
