relay: a refusal that was cut does not end a generation

What callers could see: an engine's error response that broke off ended their generation with the status of its head, though the engine could be asked again.

Evidence: TestCutRefusalIsFinal, which failed on the code before, for a body with a length and for one that ends with its connection.

Why this works: a refusal that was not read to its end is a broken connection like any other: the generation is fetched again from its offset, and given up after the usual number of new connections.

--- a/internal/relay/cut_answer_test.go
+++ b/internal/relay/cut_answer_test.go
@@ -22,6 +22,23 @@
 	}
 }
 
+// TestCutRefusalIsFinal guards against an error response that was cut and ends a generation as if the engine had refused it.
+func TestCutRefusalIsFinal(t *testing.T) {
+	complete := event(1) + event(2) + event(3) + event(4) + endOfStream
+	for name, cut := range map[string]string{
+		"its length":     "HTTP/1.1 400 X\r\nContent-Length: 100\r\n\r\n{\"error\"",
+		"its connection": "HTTP/1.1 400 X\r\nContent-Type: application/json\r\n\r\n{\"error\"",
+	} {
+		Convey("a generation is fetched again after a refusal that was cut before the end of "+name, t, func() {
+			to, n := fakeEndpoint(t, closeAfter(cut), respondWith(complete))
+			got, err := fetchText(to)
+			So(err, ShouldBeNil)
+			So(got, ShouldEqual, "t1 t2 t3 t4 ")
+			So(n.Load(), ShouldEqual, 2)
+		})
+	}
+}
+
 // TestCutReplyLooksComplete guards against a service's JSON document that was cut with its connection and is passed on and kept as
 // the reply.
 func TestCutReplyLooksComplete(t *testing.T) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
 	"github.com/greengagewheel/greengagewheel/pkg/chat"
@@ -159,8 +160,11 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
-		return offset, fault.Wrap("stream", to.String(), &Refusal{Status: resp.StatusCode, Body: body})
+		refusal, err := readRefusal(resp)
+		if err != nil {
+			return offset, classifyError(streamCtx, to, err)
+		}
+		return offset, fault.Wrap("stream", to.String(), refusal)
 	}
 	offset, err = readEvents(resp.Body, offset, func(e Event) error {
 		resetTimeout(stream.TokenGapTimeout)
@@ -172,6 +176,18 @@
 	return offset, nil
 }
 
+// readRefusal reads an error response. Of one larger than 64 KiB, it returns the beginning.
+func readRefusal(resp *http.Response) (*Refusal, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	if err == nil && len(body) < maxRefusalBytes {
+		err = answer.CheckBody(answer.FramingOf(resp), resp.Header, body)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &Refusal{Status: resp.StatusCode, Body: body}, nil
+}
+
 // classifyError distinguishes connections that were never made, broke, or went silent.
 func classifyError(streamCtx context.Context, to netip.AddrPort, err error) error {
 	var opErr *net.OpError
