bench: a stream that broke off is not measured as answered

Cause: streamOnce took the end of the body for the end of the stream; the product's streams end with [DONE] only if they are complete.

The mark has one name now, chat.EndOfStream, for all who write or read it.

--- a/internal/bench/overhead.go
+++ b/internal/bench/overhead.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/contr"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
 	"github.com/greengagewheel/greengagewheel/internal/rig"
+	"github.com/greengagewheel/greengagewheel/pkg/chat"
 )
 
 const (
@@ -183,13 +183,21 @@
 	}
 	scanner := bufio.NewScanner(resp.Body)
 	var first time.Duration
+	complete := false
 	for scanner.Scan() {
-		if first == 0 && strings.HasPrefix(scanner.Text(), "data:") {
+		data, ok := strings.CutPrefix(scanner.Text(), "data:")
+		if ok && first == 0 {
 			first = time.Since(start)
 		}
+		complete = complete || ok && strings.TrimSpace(data) == chat.EndOfStream
 	}
-	_, _ = io.Copy(io.Discard, resp.Body)
-	return first, scanner.Err()
+	if err := scanner.Err(); err != nil {
+		return first, fault.Wrap("load", to.String(), err)
+	}
+	if !complete {
+		return first, fault.Errorf("load", to.String(), "the stream ended without %s", chat.EndOfStream)
+	}
+	return first, nil
 }
 
 // loadHTTPClient keeps enough idle connections for each concurrent client to reuse its own.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -314,7 +314,7 @@
 		}
 		if done {
 			writeEvent(w, sent, finalChunk(r, req, isChat))
-			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+			_, _ = io.WriteString(w, "data: "+chat.EndOfStream+"\n\n")
 			e.countSent(sent - offset)
 			return
 		}
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -194,7 +194,7 @@
 		_ = w.Flush()
 		return p.code
 	}
-	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	_, _ = io.WriteString(w, "data: "+chat.EndOfStream+"\n\n")
 	if w.Flush() != nil {
 		return codeCallerGone
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -235,7 +235,7 @@
 // handleData passes one event to sink unless it is a repetition, and returns the new offset. A missing token is an
 // error.
 func handleData(data string, id, offset int, sink func(Event) error) (int, error) {
-	if data == "[DONE]" {
+	if data == chat.EndOfStream {
 		return offset, errStreamDone
 	}
 	var chunk chat.Completion
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -228,7 +228,7 @@
 		if !ok {
 			continue
 		}
-		if data == "[DONE]" {
+		if data == chat.EndOfStream {
 			o.complete = true
 			break
 		}
--- a/pkg/chat/chat.go
+++ b/pkg/chat/chat.go
@@ -25,6 +25,9 @@
 	FinishLength = "length"
 )
 
+// EndOfStream is the data of the last event of a complete stream, as the OpenAI API defines it.
+const EndOfStream = "[DONE]"
+
 const (
 	// DefaultMaxTokens is the output limit of a request that states none, in tokens.
 	DefaultMaxTokens = 256
