proxy: reset the connection of an HTTP/1.0 caller under a broken stream

What callers could see: a stream that the entry had broken off, ended like a complete one.

Cause: an HTTP/1.0 caller gets no chunks, so that its answer ends with its connection; the entry closed that, also where it knew that the stream was broken.

Evidence: TestBrokenStreamLooksCompleteWithoutChunks, which failed on the code before.

Why this works: a reset is not the end of a body for any reader.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -445,5 +445,21 @@
 	if !result.done {
 		req.finish("broken off: "+result.rejection.reason, 0)
 	}
+	if !req.httpReq.ProtoAtLeast(1, 1) {
+		req.resetConnection()
+	}
 	panic(http.ErrAbortHandler)
 }
+
+// resetConnection resets the caller's connection, so that its end is not taken for the end of a response without chunks.
+func (req *request) resetConnection() {
+	c, _, err := http.NewResponseController(req.writer).Hijack()
+	if err != nil {
+		req.log.Warn("connection of the caller not reset", zap.Error(err))
+		return
+	}
+	if tcpConn, ok := c.(*net.TCPConn); ok {
+		_ = tcpConn.SetLinger(0)
+	}
+	_ = c.Close()
+}
