egress, answer: say what SkipBody and the checks take as proof of a whole body

Read through as a newcomer: SkipBody in plain steps, a declared length over the limit gives up at once again, and the comments say why a length or chunks are enough and why an end between two events is. Checked: go test ./internal/proxy ./internal/answer.

--- a/internal/answer/end.go
+++ b/internal/answer/end.go
@@ -15,7 +15,7 @@
 )
 
 // CheckStreamEnd returns an error if an event stream was cut. rest is the data after its last complete event, and anyEvent is
-// set if there was one.
+// set if there was one. A stream that ends between two events counts as complete, as nothing marks its last event.
 func CheckStreamEnd(framing Framing, anyEvent bool, rest []byte) error {
 	switch {
 	case HasFields(rest):
@@ -30,8 +30,9 @@
 	return nil
 }
 
-// CheckBody returns an error if a body that was read to its end was cut. Only a body that is framed by its connection can be, and
-// only JSON documents and event streams show it.
+// CheckBody returns an error if a body was cut. It must have been read to its end without an error, which is proof enough if it
+// has a length or chunks. Of the bodies that end with their connection, JSON documents and event streams show whether they are
+// whole; others count as whole.
 func CheckBody(framing Framing, header http.Header, body []byte) error {
 	switch {
 	case framing != FramedByConnection:
--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -119,7 +119,7 @@
 		if belongs(resp) {
 			return resp, nil
 		}
-		if resp.Close {
+		if resp.Close || resp.ContentLength > maxSkippedBodyBytes {
 			break
 		}
 		if err := call.SkipBody(resp); err != nil {
@@ -129,20 +129,14 @@
 	return nil, fault.Errorf("read response", call.conn.dest.Addr.String(), "the responses belong to other requests")
 }
 
-// SkipBody reads a response's body to its end, after which the connection can be used again. An error means that the end was
-// not reached, or that the body is larger than 1 MiB.
+// SkipBody reads a response's body to its end, after which the connection can be used again. It returns an error if the end was
+// not reached or the body is larger than 1 MiB.
 func (call *Call) SkipBody(resp *http.Response) error {
-	size, err := resp.ContentLength, error(nil)
-	if size <= maxSkippedBodyBytes {
-		size, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes+1))
-	}
-	if err == nil && size > maxSkippedBodyBytes {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes+1))
+	if err == nil && n > maxSkippedBodyBytes {
 		err = errSkippedTooLarge
 	}
-	if err != nil {
-		return fault.Wrap("skip response", call.conn.dest.Addr.String(), err)
-	}
-	return nil
+	return fault.Wrap("skip response", call.conn.dest.Addr.String(), err)
 }
 
 // SetReadTimeout sets the timeout for the next bytes of the response.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -42,7 +42,7 @@
 	lastID int64
 	// buffered holds the received data that was not forwarded yet.
 	buffered []byte
-	// fresh holds the events to be forwarded next.
+	// fresh holds the events of the latest read that the caller does not have yet.
 	fresh []byte
 	// anyEvent is set once the current endpoint has sent a complete event.
 	anyEvent bool
