sched: a run that its entry does not report keeps its reservation

What customers could see: more tokens than their spending ceiling pays for.

Cause: the scheduler released a run as unsent, with all that it had reserved of the ceiling, if its entry had been silent for 5 s, or reported other runs but not this one 3 s after the grant. The run may go on all the same, at an entry that was suspended or whose report was late; the money was spent a second time.

Why this works: such a run still frees its slot, but its reservation is kept apart until its entry tells how it ended or reports it again; after 10 minutes without a word it counts as spent. Customers without a ceiling are not concerned.

--- a/internal/live/order_test.go
+++ b/internal/live/order_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -113,3 +115,40 @@
 		So(state.Spending["acme"].Allocated, ShouldBeLessThanOrEqualTo, 60_000)
 	})
 }
+
+// TestCeilingOverspentWhileEntryIsSuspended guards against a second use of the money that runs of a suspended entry have reserved.
+func TestCeilingOverspentWhileEntryIsSuspended(t *testing.T) {
+	const ceiling = 1100
+	f := newFleet(t, 3, 3)
+	eng := f.startEngine("e1", "a", "--step", "20ms", "--slots", "32")
+	c := contract("acme", callerKey)
+	c.Classes[0].Price = 1000
+	c.Ceiling = ceiling
+	f.putContract(c)
+	f.waitForEndpoints("m", 1)
+	Convey("The ceiling holds while an entry with runs in progress is suspended", t, func() {
+		var others []instance
+		for i := range f.Instances {
+			if f.Instances[i].Name != f.cellScheduler("m@r").Name {
+				others = append(others, f.instance(i))
+			}
+		}
+		suspended, entry := others[0], others[1]
+		var wg sync.WaitGroup
+		send := func(through instance, i int) {
+			wg.Go(func() { _, _ = through.chatMaxTokens(callerKey, fmt.Sprintf("spend %d [[out=500]]", i), 500) })
+		}
+		send(suspended, 1)
+		send(suspended, 2)
+		waitUntil(t, "both requests run", func() bool { return engineStats(eng.Addr).Runs == 2 })
+		suspended.Suspend()
+		time.Sleep(7 * time.Second)
+		for i := range 10 {
+			send(entry, 3+i)
+		}
+		time.Sleep(2 * time.Second)
+		suspended.Resume()
+		wg.Wait()
+		So(engineStats(eng.Addr).Tokens, ShouldBeLessThanOrEqualTo, ceiling)
+	})
+}
--- a/internal/sched/finish.go
+++ b/internal/sched/finish.go
@@ -11,6 +11,7 @@
 func (s *Scheduler) Finish(now time.Time, completion Completion) {
 	r := s.running[completion.ID]
 	if r == nil || r.req.Attempt != completion.Attempt {
+		s.settleUnconfirmed(completion)
 		return
 	}
 	s.releaseRun(now, r, completion)
@@ -47,6 +48,37 @@
 	s.settleUsage(now, r, completion.OutputTokens, false)
 }
 
+// releaseUnconfirmed removes a run that its entry does not report. The run may be in progress all the same, so what it reserved of
+// a spending ceiling is only returned once the entry tells how it ended.
+func (s *Scheduler) releaseUnconfirmed(now time.Time, r *run) {
+	reserved := r.reservedCost
+	r.reservedCost = 0
+	s.releaseRun(now, r, Completion{Unsent: true})
+	if reserved > 0 {
+		r.reservedCost, r.lastSeen = reserved, now
+		s.unconfirmed[r.req.ID] = r
+	}
+}
+
+// settleUnconfirmed returns the unspent reservation of a run that was released unconfirmed.
+func (s *Scheduler) settleUnconfirmed(completion Completion) {
+	r := s.unconfirmed[completion.ID]
+	if r == nil || r.req.Attempt != completion.Attempt {
+		return
+	}
+	delete(s.unconfirmed, completion.ID)
+	s.settleCost(r, completion.OutputTokens, completion.Unsent)
+}
+
+// forgetUnconfirmed forgets runs of which nothing was heard for long; their reservations count as spent.
+func (s *Scheduler) forgetUnconfirmed(now time.Time) {
+	for id, r := range s.unconfirmed {
+		if now.Sub(r.lastSeen) > unconfirmedRetention {
+			delete(s.unconfirmed, id)
+		}
+	}
+}
+
 // adaptLimit adjusts an endpoint's concurrency limit to the measured token interval. The simpler choices, which serve as
 // baselines in comparisons, keep a fixed limit.
 func (s *Scheduler) adaptLimit(now time.Time, e *route.Endpoint) {
@@ -65,11 +97,17 @@
 		used = -r.req.InputTokens
 	}
 	r.flow.tokenBucket.Adjust(now, float64(r.estimatedOutput-used))
-	if r.reservedCost > 0 {
-		actual := quota.Cost(r.req.InputTokens+outputTokens, r.flow.terms.Price)
-		if unsent {
-			actual = 0
-		}
-		s.spendingSlice(r.req.Customer).Release(max(r.reservedCost-actual, 0))
+	s.settleCost(r, outputTokens, unsent)
+}
+
+// settleCost returns the unspent part of what a run reserved of its customer's spending ceiling.
+func (s *Scheduler) settleCost(r *run, outputTokens int, unsent bool) {
+	if r.reservedCost == 0 {
+		return
+	}
+	actual := quota.Cost(r.req.InputTokens+outputTokens, r.flow.terms.Price)
+	if unsent {
+		actual = 0
 	}
+	s.spendingSlice(r.req.Customer).Release(max(r.reservedCost-actual, 0))
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -28,6 +28,8 @@
 	// answerRetention is how long the scheduler relies on an entry to keep the answer of a completed run; the entry keeps it longer, 60 s.
 	// The history keeps a grant for as long after the run was last known to run.
 	answerRetention = 55 * time.Second
+	// unconfirmedRetention is how long the scheduler expects an entry to tell how a run ended that it did not report.
+	unconfirmedRetention = 10 * time.Minute
 	// maxHistory is the largest number of grants that the history holds.
 	maxHistory = 20_000
 )
@@ -68,6 +70,8 @@
 		// queued and running are indexed by request ID.
 		queued  map[string]*queueItem
 		running map[string]*run
+		// unconfirmed holds the released runs that their entries did not report, with their reservations, by request ID.
+		unconfirmed map[string]*run
 		// slices holds the part of each customer's spending ceiling that this scheduler may use.
 		slices map[string]*quota.SpendingSlice
 		// queuedByTier is the number of queued requests by tier. Its length exceeds the largest tier of a contract, contr.Tiers.
@@ -94,7 +98,7 @@
 func New(now time.Time, epoch uint64, opt Options) *Scheduler {
 	return &Scheduler{
 		opt: opt, epoch: epoch, settledAt: now.Add(opt.SettleTime), flows: map[flowKey]*flow{}, backlogged: map[*flow]bool{},
-		endpoints: map[string]*route.Endpoint{}, queued: map[string]*queueItem{}, running: map[string]*run{},
+		endpoints: map[string]*route.Endpoint{}, queued: map[string]*queueItem{}, running: map[string]*run{}, unconfirmed: map[string]*run{},
 		slices: map[string]*quota.SpendingSlice{}, serviceTime: initialServiceTime.Seconds(), unguaranteedAt: now, lastLive: now,
 		history: newHistory(now, epoch), picker: route.New(opt.EndpointChoice, opt.Seed),
 	}
--- a/internal/sched/sync.go
+++ b/internal/sched/sync.go
@@ -5,7 +5,7 @@
 )
 
 // Sync reconciles the running requests of an entry with its report. Reported runs that are unknown are adopted, which rebuilds
-// the state after another instance has taken over the cell; runs that the entry no longer reports are released. The function
+// the state after another instance has taken over the cell; runs that the entry no longer reports are released, but may be reported again. The function
 // terms returns the contract terms of a request, or false if its contract no longer exists.
 func (s *Scheduler) Sync(now time.Time, report EntryReport, terms func(*Request) (Terms, bool)) {
 	reported := make(map[string]bool, len(report.Runs))
@@ -16,7 +16,7 @@
 	}
 	for id, r := range s.running {
 		if r.req.Entry == report.Entry && !reported[id] && now.Sub(r.startedAt) > grantConfirmTimeout {
-			s.releaseRun(now, r, Completion{Unsent: true})
+			s.releaseUnconfirmed(now, r)
 		}
 	}
 	s.dispatch(now)
@@ -52,6 +52,10 @@
 		req: runReport.Request, flow: f, target: runReport.Target, startedAt: now.Add(-runReport.RunningFor), lastSeen: now,
 		estimatedOutput: f.estimatedOutput,
 	}
+	if lost := s.unconfirmed[r.req.ID]; lost != nil && lost.req.Attempt == r.req.Attempt {
+		r.reservedCost = lost.reservedCost
+		delete(s.unconfirmed, r.req.ID)
+	}
 	s.running[runReport.Request.ID] = r
 	s.history.recordRun(now, &runReport.Request)
 	f.running++
--- a/internal/sched/tick.go
+++ b/internal/sched/tick.go
@@ -12,9 +12,10 @@
 func (s *Scheduler) Tick(now time.Time) {
 	for _, r := range s.running {
 		if now.Sub(r.lastSeen) > entryTimeout {
-			s.releaseRun(now, r, Completion{Unsent: true})
+			s.releaseUnconfirmed(now, r)
 		}
 	}
+	s.forgetUnconfirmed(now)
 	s.expireQueue(now)
 	if s.endpointsObserved {
 		route.MarkStragglers(s.endpointList)
