notice, proxy: an endpoint that says in an answer that it leaves gets nothing new

Until now only announcements told it, which reach an entry later, or never where it is cut off.

Change: package notice keeps, by ID and start, the endpoints that said so; the entry excludes them from each choice, first tries, repeats and resumptions, its own and the leader's. The note is taken from any answer on the connection but that of another endpoint (421).

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
+	"github.com/greengagewheel/greengagewheel/internal/notice"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/pkg/table"
@@ -152,7 +154,7 @@
 		choice, byLeader, err := req.proxy.opt.Chooser.Pick(req.httpReq.Context(), place.Request{
 			AttemptID: req.attemptID, Service: req.service.Name, Priority: req.priority(), BodyBytes: len(req.body),
 			InputTokens: req.caller.InputTokens, OutputTokens: req.caller.OutputTokens,
-			Parts: req.caller.Parts, ExcludedIDs: req.excluded, LatencyTarget: req.route.LatencyTarget, TimeLeft: req.deadline.Sub(now),
+			Parts: req.caller.Parts, ExcludedIDs: req.unusableEndpoints(), LatencyTarget: req.route.LatencyTarget, TimeLeft: req.deadline.Sub(now),
 		})
 		if err == nil {
 			req.log.Info("endpoint chosen", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Bool("shared", byLeader),
@@ -177,6 +179,11 @@
 	}
 }
 
+// unusableEndpoints returns the IDs of the endpoints that failed this request or take no new ones from this instance.
+func (req *request) unusableEndpoints() []string {
+	return slices.Concat(req.excluded, req.proxy.notices.Unwilling(req.proxy.opt.View().Endpoints))
+}
+
 // priority returns the request's priority, 0 being the highest. It orders by the organisation's priority first and the
 // route's second.
 func (req *request) priority() int {
@@ -234,7 +241,7 @@
 	if err != nil {
 		return req.handleBroken(choice, call, err)
 	}
-	resp, info, err := req.readResponseHead(call)
+	resp, info, err := req.readResponseHead(choice, call)
 	if err != nil {
 		return req.handleBroken(choice, call, err)
 	}
@@ -283,11 +290,13 @@
 
 var errForeignResponse = errors.New("the answer is not one that the endpoint made for this request")
 
-// readResponseHead reads the status line and header of the response that belongs to the request.
-func (req *request) readResponseHead(call *egress.Call) (*http.Response, ResponseInfo, error) {
+// readResponseHead reads the status line and header of the response that belongs to the request, and takes the notices that the
+// endpoint gives in it or in responses to earlier requests.
+func (req *request) readResponseHead(choice place.Choice, call *egress.Call) (*http.Response, ResponseInfo, error) {
 	var info ResponseInfo
 	resp, err := call.ReadResponse(func(resp *http.Response) bool {
 		info = req.proxy.opt.Dialect.DecodeResponse(resp.StatusCode, resp.Header)
+		req.takeNotices(choice, info)
 		return info.ID == req.caller.ID || info.ID == "" && (info.NotRun || info.Misdirected)
 	})
 	if err == nil {
@@ -296,6 +305,18 @@
 	return resp, info, err
 }
 
+// takeNotices records what an endpoint tells of itself in a response. A response of another endpoint at its address tells nothing.
+func (req *request) takeNotices(choice place.Choice, info ResponseInfo) {
+	if info.Misdirected {
+		return
+	}
+	ep := notice.Start{ID: choice.ID, StartedAtMS: choice.StartedAtMS}
+	if info.Leaving && req.proxy.notices.MarkLeaving(req.proxy.opt.Now(), ep) {
+		req.log.Info("endpoint says that it leaves", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
+			zap.Int64("born", choice.StartedAtMS))
+	}
+}
+
 // handleUnsent handles an attempt for which nothing was sent.
 func (req *request) handleUnsent(choice place.Choice, err error) attemptResult {
 	req.proxy.opt.Chooser.RecordOutcome(req.attemptID, place.ConnectFailed)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/meter"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/internal/retry"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
 	"github.com/greengagewheel/greengagewheel/pkg/table"
 )
 
@@ -57,7 +58,7 @@
 func (testDialect) DecodeResponse(status int, h http.Header) ResponseInfo {
 	return ResponseInfo{
 		ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "",
-		Misdirected: status == http.StatusMisdirectedRequest,
+		Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != "",
 		IdleTimeout: 5 * time.Second,
 	}
 }
@@ -212,7 +213,11 @@
 		h.chooser.endpoints = append(h.chooser.endpoints, newFakeEndpoint(t, respond))
 	}
 	h.configCurrent.Store(true)
-	h.view = &ctrl.View{Table: table.New(testTable()), Crashes: map[string]ctrl.Crash{}}
+	h.view = &ctrl.View{Table: table.New(testTable()), Crashes: map[string]ctrl.Crash{}, Endpoints: map[string]roster.Endpoint{}}
+	for i := range responders {
+		id := fmt.Sprint("e", i)
+		h.view.Endpoints[id] = roster.Endpoint{ID: id}
+	}
 	h.proxy = New(Options{
 		Zone: "a", Dialect: testDialect{}, View: func() *ctrl.View { return h.view }, Crashes: h.crashes,
 		ConfigCurrent:  func(time.Time) bool { return h.configCurrent.Load() },
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/meter"
+	"github.com/greengagewheel/greengagewheel/internal/notice"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/internal/retry"
@@ -82,6 +83,7 @@
 		opt                Options
 		pools              *egress.Pools
 		retryWindows       *retryWindows
+		notices            *notice.Board
 		attemptCounter     atomic.Uint64
 		requestsInProgress atomic.Int64
 		draining           atomic.Bool
@@ -139,7 +141,7 @@
 
 // New returns a proxy without connections to endpoints.
 func New(opt Options) *Proxy {
-	return &Proxy{opt: opt, pools: egress.New(), retryWindows: newRetryWindows(), startedAt: opt.Now()}
+	return &Proxy{opt: opt, pools: egress.New(), retryWindows: newRetryWindows(), notices: notice.New(), startedAt: opt.Now()}
 }
 
 // RequestsInProgress returns the number of requests in progress.
@@ -152,6 +154,17 @@
 	return p.pools
 }
 
+// Prune closes expired idle connections and those to endpoints that are not in the configuration, and removes the notices of
+// endpoints that have long left it.
+func (p *Proxy) Prune(now time.Time) {
+	endpoints := p.opt.View().Endpoints
+	p.pools.Prune(now, func(d egress.Dest) bool {
+		e, ok := endpoints[d.ID]
+		return ok && e.StartedAtMS == d.StartedAtMS && e.Addr == d.Addr
+	})
+	p.notices.Prune(now, endpoints)
+}
+
 // StartDraining asks callers to close their connections. Requests are still served.
 func (p *Proxy) StartDraining() {
 	p.draining.Store(true)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -116,7 +116,7 @@
 		}
 		req.sentCount++
 		if err == nil {
-			resp, info, err = req.readResponseHead(call)
+			resp, info, err = req.readResponseHead(choice, call)
 		}
 		if err == nil && info.Signed && resp.StatusCode == http.StatusOK {
 			req.log.Info("stream resumed", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Int64("after", lastID))
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -51,6 +51,8 @@
 		NotRun bool
 		// Misdirected means that the request reached a different endpoint than intended.
 		Misdirected bool
+		// Leaving means that the endpoint takes no new requests.
+		Leaving bool
 		// IdleTimeout is how long the endpoint keeps an idle connection, or 0 if unknown.
 		IdleTimeout time.Duration
 	}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -12,7 +12,6 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/clock"
 	"github.com/greengagewheel/greengagewheel/internal/conf"
-	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/retry"
 )
@@ -73,15 +72,9 @@
 	r.log.Info("settings reloaded", zap.Bool("seeds", !slices.Equal(current.Peers.Seeds, next.Peers.Seeds)))
 }
 
-// prune regularly closes expired idle connections and those to endpoints that no longer exist.
+// prune regularly removes what the proxy holds of endpoints that no longer exist.
 func (r *Router) prune(ctx context.Context) {
-	pace.Every(ctx, pruneInterval, func() {
-		endpoints := r.distributor.View().Endpoints
-		r.proxy.Pools().Prune(clock.Now(), func(d egress.Dest) bool {
-			e, ok := endpoints[d.ID]
-			return ok && e.StartedAtMS == d.StartedAtMS && e.Addr == d.Addr
-		})
-	})
+	pace.Every(ctx, pruneInterval, func() { r.proxy.Prune(clock.Now()) })
 }
 
 // currentRetryAllowance returns the retries that the settings allow this instance at present.
