live: suspend the replicas before the service answers, as the test means it

TestCrashAtEachClaimStep failed once: a retry got the service's answer where an unknown outcome was expected. Traced: the replicas are suspended after the call was seen to run, and the service answers a second after it began. On a machine where that takes longer, the answer is recorded before they stop.

The step now counts only if the replicas were suspended within 0.8 s of sending the call, and is repeated under another key otherwise, up to ten times; what is expected of it is the same.

--- a/internal/live/claim_steps_test.go
+++ b/internal/live/claim_steps_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -11,6 +13,9 @@
 	"github.com/greengagewheel/greengagewheel/pkg/chat"
 )
 
+// slowCall makes a simulated service answer after a second.
+const slowCall = "[[slow=1s]]"
+
 // TestCrashAtEachClaimStep guards against a call that runs twice, or whose recorded response is lost, after a crash or a disconnect
 // between two steps of its claim. The test can hold a call at two steps: in the queue, while the only slot of the service is occupied,
 // and before the response is recorded, while the replicas are suspended.
@@ -72,11 +77,7 @@
 		So(runCounts(svc.Addr)["left"], ShouldEqual, 1)
 	})
 	Convey("Entry instance killed after the service's response but before a quorum has recorded it: no retry runs the call again", t, func() {
-		go func() { _, _ = book(entry, "answered", "[[slow=1s]]") }()
-		waitUntil(t, "the call runs", func() bool { return runCounts(svc.Addr)["answered"] == 1 })
-		for _, in := range f.Instances[:3] {
-			in.Suspend()
-		}
+		key := f.suspendReplicasDuringCall(entry, svc.Addr)
 		time.Sleep(1500 * time.Millisecond)
 		entry.Kill()
 		for _, in := range f.Instances[:3] {
@@ -85,11 +86,11 @@
 		must(t, f.StartInstance(entry.Instance))
 		must(t, f.WaitReady())
 		for i := range 4 {
-			resp, err := book(f.instance(i), "answered", "[[slow=1s]]")
+			resp, err := book(f.instance(i), key, slowCall)
 			So(err, ShouldBeNil)
 			So(resp.failure.Ran, ShouldEqual, chat.RanUnknown)
 		}
-		So(runCounts(svc.Addr)["answered"], ShouldEqual, 1)
+		So(runCounts(svc.Addr)[key], ShouldEqual, 1)
 	})
 	Convey("Disk lost after the response is recorded: retries at all instances still get the same response", t, func() {
 		resp, err := book(entry, "disk", "{}")
@@ -106,6 +107,33 @@
 	})
 }
 
+// suspendReplicasDuringCall sends a call and suspends the replicas of the log before the service answers it. It returns the key of the
+// call. On a busy machine the answer may be recorded before the replicas are suspended; the call is then repeated under another key.
+func (f *fleet) suspendReplicasDuringCall(entry instance, service netip.AddrPort) string {
+	const (
+		tries = 10
+		// suspendWithin leaves the replicas time to stop before the service answers after a second.
+		suspendWithin = 800 * time.Millisecond
+	)
+	for i := range tries {
+		key := fmt.Sprint("answered", i)
+		sentAt := time.Now()
+		go func() { _, _ = book(entry, key, slowCall) }()
+		waitUntil(f.t, "the call runs", func() bool { return runCounts(service)[key] == 1 })
+		for _, in := range f.Instances[:3] {
+			in.Suspend()
+		}
+		if time.Since(sentAt) < suspendWithin {
+			return key
+		}
+		for _, in := range f.Instances[:3] {
+			in.Resume()
+		}
+	}
+	f.t.Fatal("the replicas were suspended too late in each call")
+	return ""
+}
+
 // TestRefusedRequestThatRan checks that an instance that refuses a request does not report it as not run when another
 // instance has already run part of it. The refusing instance has not seen the request itself.
 func TestRefusedRequestThatRan(t *testing.T) {
