notice, proxy: an endpoint that asks for a pause gets it

Until now such a 503 was a refusal like any other, and the endpoint was soon tried again.

Change: the notice board keeps pauses by ID and start. A paused endpoint is excluded from each choice, and a choice made meanwhile is withdrawn before anything is sent; after the pause one request in 100 ms is admitted until one is answered. If all endpoints of a service pause, callers get 503 at once with the time until the first can be tried, spread over 0.5 s.

--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -24,6 +24,8 @@
 	WrongEndpoint
 	// TimedOut means that the endpoint did not answer in time.
 	TimedOut
+	// Withdrawn means that nothing was sent to the endpoint.
+	Withdrawn
 )
 
 // maxParts is the maximum number of prompt parts in a request.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -42,6 +43,8 @@
 	refusalBodyTimeout = 50 * time.Millisecond
 	// fullRetryAfter is the Retry-After when endpoints are at capacity.
 	fullRetryAfter = 500 * time.Millisecond
+	// returnSpread is the time over which callers are spread that come back after a pause of the endpoints.
+	returnSpread = 500 * time.Millisecond
 	// unreachableMaxRetryAfter is the longest Retry-After when no endpoint of a service was reachable. A crashed
 	// endpoint takes seconds to restart.
 	unreachableMaxRetryAfter = 3 * time.Second
@@ -85,9 +88,7 @@
 		}
 		choice, ok := req.chooseEndpoint()
 		if !ok {
-			if req.attempts == 0 {
-				last.rejection = &rejection{status: http.StatusServiceUnavailable, reason: "no endpoint"}
-			}
+			last.rejection = req.noEndpointRejection(last.rejection)
 			break
 		}
 		last = req.attempt(choice)
@@ -102,6 +103,25 @@
 	req.answerFailure(last)
 }
 
+// noEndpointRejection returns the rejection if no endpoint is left to be tried; last is that of the attempts so far.
+func (req *request) noEndpointRejection(last *rejection) *rejection {
+	switch {
+	case req.attempts == 0 && req.pauseLeft > 0:
+		return &rejection{status: http.StatusServiceUnavailable, reason: "endpoints pause", retryAfter: returnDelay(req.pauseLeft, rand.Float64())}
+	case req.attempts == 0:
+		return &rejection{status: http.StatusServiceUnavailable, reason: "no endpoint"}
+	case req.pauseLeft > 0 && last.status == http.StatusServiceUnavailable:
+		return &rejection{status: last.status, reason: last.reason, retryAfter: returnDelay(req.pauseLeft, rand.Float64())}
+	}
+	return last
+}
+
+// returnDelay returns the Retry-After for a pause of the endpoints that ends after left. Callers are spread over some time behind
+// its end by random, from 0 to 1.
+func returnDelay(left time.Duration, random float64) time.Duration {
+	return left + time.Duration(random*float64(returnSpread))
+}
+
 // answerFailure writes the endpoint's error response or a rejection.
 func (req *request) answerFailure(last attemptResult) {
 	if last.response != nil {
@@ -148,14 +168,21 @@
 // chooseEndpoint selects an endpoint and waits briefly for one if none is available.
 func (req *request) chooseEndpoint() (place.Choice, bool) {
 	giveUpAt := req.arrivedAt.Add(req.route.LatencyTarget / noEndpointWaitDivisor)
+	var unwilling []string
 	for {
 		now := req.proxy.opt.Now()
 		req.attemptID = req.caller.ID + "/" + strconv.FormatUint(req.proxy.attemptCounter.Add(1), 36)
 		choice, byLeader, err := req.proxy.opt.Chooser.Pick(req.httpReq.Context(), place.Request{
 			AttemptID: req.attemptID, Service: req.service.Name, Priority: req.priority(), BodyBytes: len(req.body),
 			InputTokens: req.caller.InputTokens, OutputTokens: req.caller.OutputTokens,
-			Parts: req.caller.Parts, ExcludedIDs: req.unusableEndpoints(), LatencyTarget: req.route.LatencyTarget, TimeLeft: req.deadline.Sub(now),
+			Parts: req.caller.Parts, ExcludedIDs: req.unusableEndpoints(unwilling), LatencyTarget: req.route.LatencyTarget, TimeLeft: req.deadline.Sub(now),
 		})
+		if err == nil && !req.proxy.notices.Admit(req.proxy.opt.Now(), startOf(choice)) {
+			// The endpoint gave notice while it was being chosen.
+			req.proxy.opt.Chooser.RecordOutcome(req.attemptID, place.Withdrawn)
+			unwilling = append(unwilling, choice.ID)
+			continue
+		}
 		if err == nil {
 			req.log.Info("endpoint chosen", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Bool("shared", byLeader),
 				zap.Duration("age", choice.LoadAge), zap.Uint64("table", req.tableVersion), zap.Int("priority", req.priority()),
@@ -171,6 +198,10 @@
 			req.excluded = nil
 			continue
 		}
+		if req.pauseLeft = req.pauseBeyond(now, giveUpAt); req.pauseLeft > 0 {
+			req.log.Info("all endpoints pause", zap.String("service", req.service.Name), zap.Duration("left", req.pauseLeft))
+			return choice, false
+		}
 		if now.After(giveUpAt) || !pace.Sleep(req.httpReq.Context(), noEndpointPollInterval) {
 			req.log.Info("no endpoint", zap.String("service", req.service.Name), zap.Bool("shared", byLeader),
 				zap.Uint64("table", req.tableVersion))
@@ -179,9 +210,23 @@
 	}
 }
 
-// unusableEndpoints returns the IDs of the endpoints that failed this request or take no new ones from this instance.
-func (req *request) unusableEndpoints() []string {
-	return slices.Concat(req.excluded, req.proxy.notices.Unwilling(req.proxy.opt.View().Endpoints))
+// pauseBeyond returns how long all endpoints of the service still pause, or 0 if one can be tried before giveUpAt.
+func (req *request) pauseBeyond(now, giveUpAt time.Time) time.Duration {
+	left := req.proxy.notices.PauseLeft(now, req.service.Name, req.proxy.opt.View().Endpoints)
+	if now.Add(left).Before(giveUpAt) {
+		return 0
+	}
+	return left
+}
+
+// startOf returns the process start of a chosen endpoint.
+func startOf(choice place.Choice) notice.Start {
+	return notice.Start{ID: choice.ID, StartedAtMS: choice.StartedAtMS}
+}
+
+// unusableEndpoints returns the IDs of the endpoints that failed this request or take no new ones from this instance, and others.
+func (req *request) unusableEndpoints(others []string) []string {
+	return slices.Concat(others, req.excluded, req.proxy.notices.Unwilling(req.proxy.opt.Now(), req.proxy.opt.View().Endpoints))
 }
 
 // priority returns the request's priority, 0 being the highest. It orders by the organisation's priority first and the
@@ -301,6 +346,9 @@
 	})
 	if err == nil {
 		req.framing = answer.FramingOf(resp)
+		if info.Pause == 0 && !info.Misdirected {
+			req.proxy.notices.MarkAnswered(req.proxy.opt.Now(), startOf(choice))
+		}
 	}
 	return resp, info, err
 }
@@ -310,8 +358,13 @@
 	if info.Misdirected {
 		return
 	}
-	ep := notice.Start{ID: choice.ID, StartedAtMS: choice.StartedAtMS}
-	if info.Leaving && req.proxy.notices.MarkLeaving(req.proxy.opt.Now(), ep) {
+	now, ep := req.proxy.opt.Now(), startOf(choice)
+	if info.Pause > 0 {
+		req.proxy.notices.MarkPaused(now, ep, info.Pause)
+		req.log.Info("endpoint asks for a pause", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
+			zap.Duration("pause", info.Pause))
+	}
+	if info.Leaving && req.proxy.notices.MarkLeaving(now, ep) {
 		req.log.Info("endpoint says that it leaves", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
 			zap.Int64("born", choice.StartedAtMS))
 	}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -17,7 +17,6 @@
 	"testing"
 	"time"
 
-	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
@@ -56,8 +55,10 @@
 }
 
 func (testDialect) DecodeResponse(status int, h http.Header) ResponseInfo {
+	pause, _ := time.ParseDuration(h.Get("Pause"))
 	return ResponseInfo{
-		ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "",
+		Pause: pause,
+		ID:    h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != "",
 		IdleTimeout: 5 * time.Second,
 	}
@@ -144,6 +145,7 @@
 // roundRobin selects endpoints in turn, skips the excluded ones, and records the outcomes of attempts.
 type roundRobin struct {
 	endpoints []*fakeEndpoint
+	view      *ctrl.View
 	next      atomic.Int64
 	mu        sync.Mutex
 	outcomes  []place.Outcome
@@ -154,7 +156,9 @@
 		i := int(c.next.Add(1)-1) % len(c.endpoints)
 		id := fmt.Sprint("e", i)
 		if !strings.Contains(strings.Join(req.ExcludedIDs, " ")+" ", id+" ") {
-			return place.Choice{ID: id, Addr: c.endpoints[i].addr, ExpectedLatency: time.Millisecond}, true, nil
+			return place.Choice{
+				ID: id, StartedAtMS: c.view.Endpoints[id].StartedAtMS, Addr: c.endpoints[i].addr, ExpectedLatency: time.Millisecond,
+			}, true, nil
 		}
 	}
 	return place.Choice{}, false, errors.New("none")
@@ -216,8 +220,9 @@
 	h.view = &ctrl.View{Table: table.New(testTable()), Crashes: map[string]ctrl.Crash{}, Endpoints: map[string]roster.Endpoint{}}
 	for i := range responders {
 		id := fmt.Sprint("e", i)
-		h.view.Endpoints[id] = roster.Endpoint{ID: id}
+		h.view.Endpoints[id] = roster.Endpoint{ID: id, Service: "s", State: roster.Ready}
 	}
+	h.chooser.view = h.view
 	h.proxy = New(Options{
 		Zone: "a", Dialect: testDialect{}, View: func() *ctrl.View { return h.view }, Crashes: h.crashes,
 		ConfigCurrent:  func(time.Time) bool { return h.configCurrent.Load() },
@@ -240,12 +245,18 @@
 	complete bool
 }
 
-func (h *harness) send(method, target, body string, header ...string) callerResponse {
-	req, err := http.NewRequest(method, "http://"+h.addr+target, strings.NewReader(body))
-	So(err, ShouldBeNil)
+// newRequest returns a caller's request with an ID of its own.
+func (h *harness) newRequest(method, target, body string) *http.Request {
+	req := httptest.NewRequest(method, "http://"+h.addr+target, strings.NewReader(body))
+	req.RequestURI = ""
 	req.Host = "h"
 	req.Header.Set("Id", fmt.Sprint("r", h.nextID.Add(1)))
 	req.Header.Set("Key", "key")
+	return req
+}
+
+func (h *harness) send(method, target, body string, header ...string) callerResponse {
+	req := h.newRequest(method, target, body)
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
--- a/internal/proxy/line_ending_test.go
+++ b/internal/proxy/line_ending_test.go
@@ -32,12 +32,7 @@
 				_, _ = fmt.Fprint(c, "0\r\n\r\n")
 				return true
 			})
-			req, err := http.NewRequest(http.MethodPost, "http://"+h.addr+"/stream/", strings.NewReader("x"))
-			So(err, ShouldBeNil)
-			req.Host = "h"
-			req.Header.Set("Id", "r")
-			req.Header.Set("Key", "key")
-			resp, err := http.DefaultTransport.RoundTrip(req)
+			resp, err := http.DefaultTransport.RoundTrip(h.newRequest(http.MethodPost, "/stream/", "x"))
 			So(err, ShouldBeNil)
 			defer func() { _ = resp.Body.Close() }()
 			_, err = resp.Body.Read(make([]byte, 1))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -126,6 +126,8 @@
 		framing answer.Framing
 		// partialBytes is the size of the event in which the endpoint's stream ended, or 0.
 		partialBytes int
+		// pauseLeft is the time until an endpoint of the service ends its pause, if all of them pause, or 0.
+		pauseLeft time.Duration
 		// retryAfter is the Retry-After sent to the caller, or 0.
 		retryAfter time.Duration
 	}
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -53,6 +53,8 @@
 		Misdirected bool
 		// Leaving means that the endpoint takes no new requests.
 		Leaving bool
+		// Pause is how long the endpoint wants no requests of this instance, or 0.
+		Pause time.Duration
 		// IdleTimeout is how long the endpoint keeps an idle connection, or 0 if unknown.
 		IdleTimeout time.Duration
 	}
