--- a/internal/proxy/cut_stream_test.go
+++ b/internal/proxy/cut_stream_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -20,6 +21,16 @@
 	}
 }
 
+// streamThenReset streams text without a length or chunks and resets the connection once it has arrived.
+func streamThenReset(text string) responder {
+	return func(req receivedRequest, c net.Conn) bool {
+		streamThenClose(text)(req, c)
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+}
+
 // TestCutStreamLooksComplete guards against a stream that ends inside an event and reaches its caller framed as complete.
 func TestCutStreamLooksComplete(t *testing.T) {
 	whole, cut := eventRange(1, 20), eventRange(1, 10)+event(11)[:7]
@@ -92,6 +103,16 @@
 			So(resp.body, ShouldEqual, text)
 		}
 	})
+	Convey("a stream whose connection is reset between two events is broken off or resumed", t, func() {
+		resp := newHarness(t, streamThenReset(eventRange(1, 10))).send(http.MethodPost, "/stream/", "x")
+		So(resp.complete, ShouldBeFalse)
+		So(resp.body, ShouldEqual, eventRange(1, 10))
+		h := newHarness(t, streamThenReset(eventRange(1, 10)), streamUpTo(20, 0))
+		resp = h.send(http.MethodPost, "/resume/", "x")
+		So(resp.complete, ShouldBeTrue)
+		So(resp.body, ShouldEqual, whole)
+		So(h.chooser.endpoints[1].requests()[0].Header.Get("After"), ShouldEqual, "10")
+	})
 	Convey("a JSON answer on a route of streams is forwarded", t, func() {
 		h := newHarness(t, func(req receivedRequest, c net.Conn) bool {
 			writeResponse(c, req, http.StatusOK, `{"text":"all"}`, "Content-Type", "application/json; charset=utf-8")
