proxy: the choice of an endpoint has a file of its own

What chooses an endpoint, takes the notices in its responses and says what a request gets if none is left moves to choose.go; the code is the same but for the time, which is now an argument of unusableEndpoints. Checked: go test -race ./internal/proxy, lint.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -15,8 +13,6 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
-	"github.com/greengagewheel/greengagewheel/internal/notice"
-	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/pkg/table"
 )
@@ -28,10 +24,6 @@
 	maxAttempts = 4
 	// maxBufferedResponseBytes is the largest response that is buffered completely before it is forwarded, in bytes.
 	maxBufferedResponseBytes = 1 << 20
-	// noEndpointPollInterval is the interval between two attempts to select an endpoint while none is available.
-	noEndpointPollInterval = 50 * time.Millisecond
-	// noEndpointWaitDivisor bounds the wait for an available endpoint to target/noEndpointWaitDivisor.
-	noEndpointWaitDivisor = 8
 	// The timeout for the first response is a percentage of the route's target latency or a multiple of the expected
 	// time, whichever is longer. A call is short and may still meet its target at another endpoint; a stream that
 	// restarts has to process its prompt again.
@@ -43,8 +35,6 @@
 	refusalBodyTimeout = 50 * time.Millisecond
 	// fullRetryAfter is the Retry-After when endpoints are at capacity.
 	fullRetryAfter = 500 * time.Millisecond
-	// returnSpread is the time over which callers are spread that come back after a pause of the endpoints.
-	returnSpread = 500 * time.Millisecond
 	// unreachableMaxRetryAfter is the longest Retry-After when no endpoint of a service was reachable. A crashed
 	// endpoint takes seconds to restart.
 	unreachableMaxRetryAfter = 3 * time.Second
@@ -103,25 +93,6 @@
 	req.answerFailure(last)
 }
 
-// noEndpointRejection returns the rejection if no endpoint is left to be tried; last is that of the attempts so far.
-func (req *request) noEndpointRejection(last *rejection) *rejection {
-	switch {
-	case req.attempts == 0 && req.pauseLeft > 0:
-		return &rejection{status: http.StatusServiceUnavailable, reason: "endpoints pause", retryAfter: returnDelay(req.pauseLeft, rand.Float64())}
-	case req.attempts == 0:
-		return &rejection{status: http.StatusServiceUnavailable, reason: "no endpoint"}
-	case req.pauseLeft > 0 && last.status == http.StatusServiceUnavailable:
-		return &rejection{status: last.status, reason: last.reason, retryAfter: returnDelay(req.pauseLeft, rand.Float64())}
-	}
-	return last
-}
-
-// returnDelay returns the Retry-After for a pause of the endpoints that ends after left. Callers are spread over some time behind
-// its end by random, from 0 to 1.
-func returnDelay(left time.Duration, random float64) time.Duration {
-	return left + time.Duration(random*float64(returnSpread))
-}
-
 // answerFailure writes the endpoint's error response or a rejection.
 func (req *request) answerFailure(last attemptResult) {
 	if last.response != nil {
@@ -165,70 +136,6 @@
 	return req.httpReq.Context().Err() != nil
 }
 
-// chooseEndpoint selects an endpoint and waits briefly for one if none is available.
-func (req *request) chooseEndpoint() (place.Choice, bool) {
-	giveUpAt := req.arrivedAt.Add(req.route.LatencyTarget / noEndpointWaitDivisor)
-	var unwilling []string
-	for {
-		now := req.proxy.opt.Now()
-		req.attemptID = req.caller.ID + "/" + strconv.FormatUint(req.proxy.attemptCounter.Add(1), 36)
-		choice, byLeader, err := req.proxy.opt.Chooser.Pick(req.httpReq.Context(), place.Request{
-			AttemptID: req.attemptID, Service: req.service.Name, Priority: req.priority(), BodyBytes: len(req.body),
-			InputTokens: req.caller.InputTokens, OutputTokens: req.caller.OutputTokens,
-			Parts: req.caller.Parts, ExcludedIDs: req.unusableEndpoints(unwilling), LatencyTarget: req.route.LatencyTarget, TimeLeft: req.deadline.Sub(now),
-		})
-		if err == nil && !req.proxy.notices.Admit(req.proxy.opt.Now(), startOf(choice)) {
-			// The endpoint gave notice while it was being chosen.
-			req.proxy.opt.Chooser.RecordOutcome(req.attemptID, place.Withdrawn)
-			unwilling = append(unwilling, choice.ID)
-			continue
-		}
-		if err == nil {
-			req.log.Info("endpoint chosen", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Bool("shared", byLeader),
-				zap.Duration("age", choice.LoadAge), zap.Uint64("table", req.tableVersion), zap.Int("priority", req.priority()),
-				zap.Int("input", req.caller.InputTokens), zap.Int("need", choice.PrefillTokens), zap.Int("moved", choice.FetchTokens),
-				zap.Int("running", choice.Running), zap.Int("others", choice.Alternatives),
-				zap.Duration("expected", choice.ExpectedLatency), zap.Int("try", req.attempts), zap.Duration("waited", now.Sub(req.arrivedAt)),
-				zap.Duration("took", req.proxy.opt.Now().Sub(now)))
-			return choice, true
-		}
-		if len(req.excluded) > 0 {
-			// No other endpoint is left: retry one that failed before.
-			req.log.Info("no other endpoint", zap.String("service", req.service.Name), zap.Strings("avoided", req.excluded))
-			req.excluded = nil
-			continue
-		}
-		if req.pauseLeft = req.pauseBeyond(now, giveUpAt); req.pauseLeft > 0 {
-			req.log.Info("all endpoints pause", zap.String("service", req.service.Name), zap.Duration("left", req.pauseLeft))
-			return choice, false
-		}
-		if now.After(giveUpAt) || !pace.Sleep(req.httpReq.Context(), noEndpointPollInterval) {
-			req.log.Info("no endpoint", zap.String("service", req.service.Name), zap.Bool("shared", byLeader),
-				zap.Uint64("table", req.tableVersion))
-			return choice, false
-		}
-	}
-}
-
-// pauseBeyond returns how long all endpoints of the service still pause, or 0 if one can be tried before giveUpAt.
-func (req *request) pauseBeyond(now, giveUpAt time.Time) time.Duration {
-	left := req.proxy.notices.PauseLeft(now, req.service.Name, req.proxy.opt.View().Endpoints)
-	if now.Add(left).Before(giveUpAt) {
-		return 0
-	}
-	return left
-}
-
-// startOf returns the process start of a chosen endpoint.
-func startOf(choice place.Choice) notice.Start {
-	return notice.Start{ID: choice.ID, StartedAtMS: choice.StartedAtMS}
-}
-
-// unusableEndpoints returns the IDs of the endpoints that failed this request or take no new ones from this instance, and others.
-func (req *request) unusableEndpoints(others []string) []string {
-	return slices.Concat(others, req.excluded, req.proxy.notices.Unwilling(req.proxy.opt.Now(), req.proxy.opt.View().Endpoints))
-}
-
 // priority returns the request's priority, 0 being the highest. It orders by the organisation's priority first and the
 // route's second.
 func (req *request) priority() int {
@@ -353,23 +260,6 @@
 	return resp, info, err
 }
 
-// takeNotices records what an endpoint tells of itself in a response. A response of another endpoint at its address tells nothing.
-func (req *request) takeNotices(choice place.Choice, info ResponseInfo) {
-	if info.Misdirected {
-		return
-	}
-	now, ep := req.proxy.opt.Now(), startOf(choice)
-	if info.Pause > 0 {
-		req.proxy.notices.MarkPaused(now, ep, info.Pause)
-		req.log.Info("endpoint asks for a pause", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
-			zap.Duration("pause", info.Pause))
-	}
-	if info.Leaving && req.proxy.notices.MarkLeaving(now, ep) {
-		req.log.Info("endpoint says that it leaves", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
-			zap.Int64("born", choice.StartedAtMS))
-	}
-}
-
 // handleUnsent handles an attempt for which nothing was sent.
 func (req *request) handleUnsent(choice place.Choice, err error) attemptResult {
 	req.proxy.opt.Chooser.RecordOutcome(req.attemptID, place.ConnectFailed)
