proxy: reset the test's connection when its data has arrived, not after 20 ms

On a busy machine the reset of the case added last could have overtaken the data, and the test would have failed for no fault.

--- a/internal/proxy/cut_stream_test.go
+++ b/internal/proxy/cut_stream_test.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -21,14 +20,18 @@
 	}
 }
 
-// streamThenReset streams text without a length or chunks and resets the connection once it has arrived.
-func streamThenReset(text string) responder {
-	return func(req receivedRequest, c net.Conn) bool {
+// newResetHarness returns a harness whose first endpoint streams text without a length or chunks and resets the connection once the
+// text has arrived.
+func newResetHarness(t *testing.T, text string, others ...responder) *harness {
+	var h *harness
+	reset := func(req receivedRequest, c net.Conn) bool {
 		streamThenClose(text)(req, c)
-		time.Sleep(20 * time.Millisecond)
+		<-h.chooser.firstAnswers
 		_ = c.(*net.TCPConn).SetLinger(0)
 		return false
 	}
+	h = newHarness(t, append([]responder{reset}, others...)...)
+	return h
 }
 
 // TestCutStreamLooksComplete guards against a stream that ends inside an event and reaches its caller framed as complete.
@@ -104,10 +107,10 @@
 		}
 	})
 	Convey("a stream whose connection is reset between two events is broken off or resumed", t, func() {
-		resp := newHarness(t, streamThenReset(eventRange(1, 10))).send(http.MethodPost, "/stream/", "x")
+		resp := newResetHarness(t, eventRange(1, 10)).send(http.MethodPost, "/stream/", "x")
 		So(resp.complete, ShouldBeFalse)
 		So(resp.body, ShouldEqual, eventRange(1, 10))
-		h := newHarness(t, streamThenReset(eventRange(1, 10)), streamUpTo(20, 0))
+		h := newResetHarness(t, eventRange(1, 10), streamUpTo(20, 0))
 		resp = h.send(http.MethodPost, "/resume/", "x")
 		So(resp.complete, ShouldBeTrue)
 		So(resp.body, ShouldEqual, whole)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -146,9 +146,11 @@
 type roundRobin struct {
 	endpoints []*fakeEndpoint
 	view      *ctrl.View
-	next      atomic.Int64
-	mu        sync.Mutex
-	outcomes  []place.Outcome
+	// firstAnswers gets a value for each attempt whose response has begun.
+	firstAnswers chan struct{}
+	next         atomic.Int64
+	mu           sync.Mutex
+	outcomes     []place.Outcome
 }
 
 func (c *roundRobin) Pick(_ context.Context, req place.Request) (place.Choice, bool, error) {
@@ -164,7 +166,12 @@
 	return place.Choice{}, false, errors.New("none")
 }
 
-func (c *roundRobin) RecordFirstAnswer(string, time.Duration) {}
+func (c *roundRobin) RecordFirstAnswer(string, time.Duration) {
+	select {
+	case c.firstAnswers <- struct{}{}:
+	default:
+	}
+}
 
 func (c *roundRobin) RecordOutcome(_ string, outcome place.Outcome) {
 	c.mu.Lock()
@@ -212,7 +219,7 @@
 }
 
 func newHarness(t *testing.T, responders ...responder) *harness {
-	h := &harness{chooser: &roundRobin{}, crashes: make(crashReports, 100)}
+	h := &harness{chooser: &roundRobin{firstAnswers: make(chan struct{}, 1)}, crashes: make(crashReports, 100)}
 	for _, respond := range responders {
 		h.chooser.endpoints = append(h.chooser.endpoints, newFakeEndpoint(t, respond))
 	}
