--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -44,7 +44,8 @@
 			continue
 		}
 		if err == nil {
-			req.log.Info("endpoint chosen", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Bool("shared", byLeader),
+			req.log.Info("endpoint chosen", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
+				zap.String("build", req.buildOf(choice)), zap.Bool("shared", byLeader),
 				zap.Duration("age", choice.LoadAge), zap.Uint64("table", req.tableVersion), zap.Int("priority", req.priority()),
 				zap.Int("input", req.caller.InputTokens), zap.Int("need", choice.PrefillTokens), zap.Int("moved", choice.FetchTokens),
 				zap.Int("running", choice.Running), zap.Int("others", choice.Alternatives),
@@ -76,6 +77,15 @@
 	}
 }
 
+// buildOf returns the software version of a chosen endpoint, or an empty one if it is not known.
+func (req *request) buildOf(choice place.Choice) string {
+	ep, ok := req.proxy.opt.View().Endpoints[choice.ID]
+	if !ok || ep.StartedAtMS != choice.StartedAtMS {
+		return ""
+	}
+	return ep.Build
+}
+
 // pauseBeyond returns how long all endpoints of the service still pause, or 0 if one can be tried before giveUpAt.
 func (req *request) pauseBeyond(now, giveUpAt time.Time) time.Duration {
 	left := req.proxy.notices.PauseLeft(now, req.service.Name, req.proxy.opt.View().Endpoints)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -77,7 +77,7 @@
 		req.excluded = append(req.excluded, choice.ID)
 		start = req.proxy.opt.Now()
 		var ok bool
-		if choice, call, resp, info, ok = req.resume(s.lastID); !ok {
+		if choice, call, resp, info, ok = req.resume(s.lastID, req.buildOf(choice)); !ok {
 			return s.endBroken(result)
 		}
 	}
@@ -100,8 +100,8 @@
 		req.takeRetry(now)
 }
 
-// resume has another endpoint continue the stream after the event lastID.
-func (req *request) resume(lastID int64) (choice place.Choice, call *egress.Call, resp *http.Response, info ResponseInfo, ok bool) {
+// resume has another endpoint continue the stream, which comes from an endpoint of the software version from, after the event lastID.
+func (req *request) resume(lastID int64, from string) (choice place.Choice, call *egress.Call, resp *http.Response, info ResponseInfo, ok bool) {
 	after := ""
 	if lastID >= 0 {
 		after = strconv.FormatInt(lastID, 10)
@@ -125,7 +125,8 @@
 			resp, info, err = req.readResponseHead(choice, call)
 		}
 		if err == nil && info.Signed && resp.StatusCode == http.StatusOK {
-			req.log.Info("stream resumed", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Int64("after", lastID))
+			req.log.Info("stream resumed", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
+				zap.Int64("after", lastID), zap.String("build", req.buildOf(choice)), zap.String("from", from))
 			return choice, call, resp, info, true
 		}
 		if err == nil {
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -21,6 +21,10 @@
 		InputTokens  int
 		OutputTokens int
 		Parts        []place.PromptPart
+		// Resumes is the ID of the caller's request that brought the first event of the stream that this one continues, and
+		// LastEventID the last event that the caller has; both may be empty.
+		Resumes     string
+		LastEventID string
 	}
 
 	// ForwardInfo holds the header fields that the router sets on a forwarded request.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -19,12 +19,16 @@
 // maxDeparted is the maximum number of departed endpoints that are remembered, so that their late announcements are ignored.
 const maxDeparted = 20_000
 
+// MaxBuildBytes is the length of the longest software version of an endpoint.
+const MaxBuildBytes = 128
+
 type (
 	// State indicates whether an endpoint accepts new requests.
 	State string
 
 	// Endpoint describes one process start of an endpoint. StartedAtMS is the time of the start in Unix milliseconds, by the
-	// endpoint's clock. Slots is the number of requests that it runs at once.
+	// endpoint's clock. Slots is the number of requests that it runs at once. Build is the version of its software, or empty if that
+	// is unknown.
 	Endpoint struct {
 		ID          string         `json:"id"`
 		Service     string         `json:"service"`
@@ -33,6 +37,7 @@
 		Slots       int            `json:"slots"`
 		State       State          `json:"state"`
 		StartedAtMS int64          `json:"born"`
+		Build       string         `json:"build,omitempty"`
 	}
 
 	// Removal reports that an endpoint has left, or, with Lost set, that it has not announced itself for a long time. StartedAtMS is
@@ -77,6 +82,8 @@
 		return errors.New("endpoint: unknown state")
 	case e.Slots < 0:
 		return errors.New("endpoint: negative slots")
+	case len(e.Build) > MaxBuildBytes:
+		return errors.New("endpoint: the software version is too long")
 	}
 	return nil
 }
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -229,7 +229,8 @@
 			return leaderReply{IsLeader: true}, err
 		}
 		c.router.log.Info("endpoint announced", zap.String("endpoint", e.ID), zap.String("service", e.Service),
-			zap.Stringer("address", e.Addr), zap.String("state", string(e.State)), zap.Int64("born", e.StartedAtMS))
+			zap.Stringer("address", e.Addr), zap.String("state", string(e.State)), zap.Int64("born", e.StartedAtMS),
+			zap.String("build", e.Build))
 	}
 	c.recordHeartbeat(clock.Now(), e.ID)
 	return leaderReply{IsLeader: true}, nil
