origin, place, proxy: streams go on only at the software version that began them

Cause: a broken stream was resumed at whichever endpoint of the service placement liked best, and a request that takes a stream up was placed like any other. Endpoints of one service were taken for interchangeable, and what one entry knows of a stream was not known where its caller comes back.

Change: the first event binds the stream to its endpoint's version; placement chooses within it; the origin is kept by the entry, the leader and another replica (package origin) and looked up by the request that takes the stream up. What cannot be learnt is refused as not run.

Why it works: no choice outside the version is sent, whoever makes it, and none is sent while the version is not known.

--- a/internal/notice/board.go
+++ b/internal/notice/board.go
@@ -132,9 +132,9 @@
 	return ids
 }
 
-// PauseLeft returns the time until the first endpoint of a service can be tried again, if all of them that are ready pause or
-// leave and one at least pauses; else 0.
-func (b *Board) PauseLeft(now time.Time, service string, eps map[string]roster.Endpoint) time.Duration {
+// PauseLeft returns the time until the first endpoint of a service, and of a software version unless build is empty, can be tried
+// again, if all of them that are ready pause or leave and one at least pauses; else 0.
+func (b *Board) PauseLeft(now time.Time, service, build string, eps map[string]roster.Endpoint) time.Duration {
 	if b.size.Load() == 0 {
 		return 0
 	}
@@ -142,7 +142,7 @@
 	defer b.mu.Unlock()
 	var left time.Duration
 	for id, known := range eps {
-		if known.Service != service || known.State != roster.Ready {
+		if known.Service != service || build != "" && known.Build != build || known.State != roster.Ready {
 			continue
 		}
 		ep := Start{ID: id, StartedAtMS: known.StartedAtMS}
--- /dev/null
+++ b/internal/origin/keeper.go
@@ -0,0 +1,241 @@
+package origin
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/pace"
+)
+
+const (
+	// sendDelay is how long a new record waits for others to be sent with. An entry instance that is lost earlier loses it.
+	sendDelay = 20 * time.Millisecond
+	// holderInterval is the interval at which it is checked whether the holders have changed.
+	holderInterval = 500 * time.Millisecond
+	// callTimeout bounds the time for which a caller waits for the instances asked, in each of two steps.
+	callTimeout = 150 * time.Millisecond
+	// sendTimeout bounds a call that sends records.
+	sendTimeout = time.Second
+	// maxBatch is the largest number of records in a message.
+	maxBatch = 4096
+	// maxAsked is the largest number of entry instances that are asked for one record.
+	maxAsked = 64
+	// holders is the number of replicas that each record is sent to, the leader first.
+	holders = 2
+)
+
+type (
+	// Message sends records to another instance, or asks it for one.
+	Message struct {
+		Records []Record `json:"records,omitempty"`
+		Find    *Key     `json:"find,omitempty"`
+	}
+
+	// Reply answers a message that asks for a record.
+	Reply struct {
+		Origin Origin `json:"origin"`
+		Found  bool   `json:"found,omitempty"`
+	}
+
+	// Sender sends messages to other instances.
+	Sender interface {
+		SendOrigins(ctx context.Context, to netip.AddrPort, msg Message) (Reply, error)
+	}
+
+	// Options configures a Keeper. Replicas returns the replicas of the log, the leader first; Entries the other entry instances, the
+	// nearest first.
+	Options struct {
+		Sender   Sender
+		Replicas func() []netip.AddrPort
+		Entries  func() []netip.AddrPort
+		Now      func() time.Time
+		Log      *zap.Logger
+	}
+
+	// Keeper holds the records of one instance, sends its own to replicas, and finds those of others.
+	Keeper struct {
+		opt   Options
+		mu    sync.Mutex
+		store *Store
+		// own holds the records of streams that this instance served.
+		own    *Store
+		unsent []Record
+		// wake is written to when there are unsent records.
+		wake chan struct{}
+		// sentTo lists the replicas that hold the records of this instance.
+		sentTo []netip.AddrPort
+	}
+)
+
+// New returns a keeper without records.
+func New(opt Options) *Keeper {
+	return &Keeper{opt: opt, store: NewStore(), own: NewStore(), wake: make(chan struct{}, 1)}
+}
+
+// Check returns an error if a record is invalid or there are too many.
+func (m *Message) Check() error {
+	if len(m.Records) > maxBatch {
+		return fmt.Errorf("origin: %d records, at most %d are taken", len(m.Records), maxBatch)
+	}
+	for i := range m.Records {
+		if err := m.Records[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Record records the origin of a request's stream. One of an unknown software version is not recorded.
+func (k *Keeper) Record(rec Record) {
+	if rec.Check() != nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.own.Add(k.opt.Now(), rec)
+	if len(k.unsent) < maxBatch {
+		k.unsent = append(k.unsent, rec)
+	}
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Find returns the origin of a request's stream. It asks other instances if this one does not know it.
+func (k *Keeper) Find(ctx context.Context, key Key) (o Origin, found bool) {
+	if reply := k.find(key); reply.Found {
+		return reply.Origin, true
+	}
+	reply := k.ask(ctx, key, k.opt.Replicas())
+	if !reply.Found {
+		entries := k.opt.Entries()
+		reply = k.ask(ctx, key, entries[:min(len(entries), maxAsked)])
+	}
+	return reply.Origin, reply.Found
+}
+
+// find returns the record of a key that this instance has.
+func (k *Keeper) find(key Key) (reply Reply) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.opt.Now()
+	if reply.Origin, reply.Found = k.own.Find(now, key); !reply.Found {
+		reply.Origin, reply.Found = k.store.Find(now, key)
+	}
+	return reply
+}
+
+// ask asks several instances at once and returns the first reply with a record.
+func (k *Keeper) ask(ctx context.Context, key Key, instances []netip.AddrPort) Reply {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	replies := make(chan Reply, len(instances))
+	for _, addr := range instances {
+		go func() {
+			reply, err := k.opt.Sender.SendOrigins(ctx, addr, Message{Find: &key})
+			if err != nil {
+				k.opt.Log.Debug("instance not asked for the origin of a stream", zap.Stringer("peer", addr), zap.Error(err))
+			}
+			replies <- reply
+		}()
+	}
+	for range instances {
+		select {
+		case reply := <-replies:
+			if reply.Found {
+				return reply
+			}
+		case <-ctx.Done():
+			return Reply{}
+		}
+	}
+	return Reply{}
+}
+
+// Serve handles a message of another instance.
+func (k *Keeper) Serve(msg Message) Reply {
+	k.mu.Lock()
+	now := k.opt.Now()
+	for _, rec := range msg.Records {
+		k.store.Add(now, rec)
+	}
+	k.mu.Unlock()
+	if msg.Find == nil {
+		return Reply{}
+	}
+	return k.find(*msg.Find)
+}
+
+// Len returns the number of records held.
+func (k *Keeper) Len() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.own.Len() + k.store.Len()
+}
+
+// Run sends new records to the leader and another replica until the context is done, and all records to those that become holders.
+func (k *Keeper) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	check := time.NewTicker(holderInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+			pace.Sleep(ctx, sendDelay)
+		case <-check.C:
+		}
+		to, fresh, unsent, all := k.takeUnsent()
+		for _, addr := range to {
+			records := unsent
+			if slices.Contains(fresh, addr) {
+				records = all
+			}
+			if len(records) > 0 {
+				wg.Go(func() { k.send(ctx, addr, records) })
+			}
+		}
+	}
+}
+
+// takeUnsent returns the replicas that hold the records of this instance, those of them that are new, the records that were not
+// sent yet, and, if there are new holders, all records.
+func (k *Keeper) takeUnsent() (to, fresh []netip.AddrPort, unsent, all []Record) {
+	replicas := k.opt.Replicas()
+	to = replicas[:min(holders, len(replicas))]
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	unsent, k.unsent = k.unsent, nil
+	for _, addr := range to {
+		if !slices.Contains(k.sentTo, addr) {
+			fresh = append(fresh, addr)
+		}
+	}
+	k.sentTo = slices.Clone(to)
+	if len(fresh) > 0 {
+		all = k.own.All(k.opt.Now(), maxBatch)
+	}
+	return to, fresh, unsent, all
+}
+
+// send sends records to a replica. After a failure, the replica gets all records with the next ones.
+func (k *Keeper) send(ctx context.Context, to netip.AddrPort, records []Record) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	if _, err := k.opt.Sender.SendOrigins(ctx, to, Message{Records: records}); err != nil {
+		k.opt.Log.Debug("origins of streams not sent", zap.Stringer("peer", to), zap.Int("records", len(records)), zap.Error(err))
+		k.mu.Lock()
+		k.sentTo = slices.DeleteFunc(k.sentTo, func(addr netip.AddrPort) bool { return addr == to })
+		k.mu.Unlock()
+	}
+}
--- a/internal/picker/server.go
+++ b/internal/picker/server.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/origin"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/internal/roster"
@@ -42,6 +43,8 @@
 		Sequence uint64         `json:"number"`
 		Request  *place.Request `json:"request,omitempty"`
 		Events   []place.Event  `json:"events,omitempty"`
+		// Origin, if set, is about the origins of streams; it may be sent to any instance, and no other field counts.
+		Origin *origin.Message `json:"origin,omitempty"`
 	}
 
 	// LeaderReply is the answer to a LeaderRequest.
@@ -55,6 +58,8 @@
 		Choice     place.Choice  `json:"choice"`
 		// Loads is the load from other entry instances, omitted if it was sent recently.
 		Loads *place.ServiceLoad `json:"loads,omitempty"`
+		// Origin answers the Origin of the request.
+		Origin *origin.Reply `json:"origin,omitempty"`
 	}
 
 	// Engines queries model engines.
@@ -233,6 +238,9 @@
 
 // Check validates a request of an entry instance.
 func (r *LeaderRequest) Check() error {
+	if r.Origin != nil {
+		return r.Origin.Check()
+	}
 	if r.Request != nil {
 		return r.Request.Check()
 	}
--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -211,7 +211,8 @@
 
 // accepts reports whether an endpoint may be chosen for a request.
 func (ep *endpoint) accepts(req *Request) bool {
-	return ep.info.State == roster.Ready && !slices.Contains(req.ExcludedIDs, ep.info.ID)
+	return ep.info.State == roster.Ready && (req.Build == "" || req.Build == ep.info.Build) &&
+		!slices.Contains(req.ExcludedIDs, ep.info.ID)
 }
 
 // cheapest returns the endpoint with the lowest cost for a request, or nil if none accepts it.
@@ -233,7 +234,7 @@
 
 func (ep *endpoint) choice(a *attempt, alternatives int) Choice {
 	return Choice{
-		ID: ep.info.ID, Addr: ep.info.Addr, StartedAtMS: ep.info.StartedAtMS, Zone: ep.info.Zone,
+		ID: ep.info.ID, Addr: ep.info.Addr, StartedAtMS: ep.info.StartedAtMS, Build: ep.info.Build, Zone: ep.info.Zone,
 		PrefillTokens: a.prefillTokens, FetchTokens: a.fetchTokens, FetchFrom: a.fetchFrom,
 		ExpectedLatency: a.expectedLatency, Running: ep.running(), Alternatives: max(0, alternatives),
 	}
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -57,6 +57,8 @@
 		Parts        []PromptPart `json:"parts,omitempty"`
 		// ExcludedIDs lists the IDs of endpoints that must not be chosen.
 		ExcludedIDs []string `json:"avoid,omitempty"`
+		// Build is the only software version that may be chosen, or empty.
+		Build string `json:"build,omitempty"`
 		// LatencyTarget is the latency objective.
 		LatencyTarget time.Duration `json:"target"`
 		// TimeLeft is the time until the caller's deadline.
@@ -68,8 +70,10 @@
 		ID   string         `json:"id"`
 		Addr netip.AddrPort `json:"addr"`
 		// StartedAtMS is the start time of the endpoint in Unix milliseconds.
-		StartedAtMS int64  `json:"born"`
-		Zone        string `json:"zone"`
+		StartedAtMS int64 `json:"born"`
+		// Build is the version of the endpoint's software, or empty if it is not known.
+		Build string `json:"build,omitempty"`
+		Zone  string `json:"zone"`
 		// PrefillTokens is the estimated number of prompt tokens to prefill.
 		PrefillTokens int `json:"need,omitempty"`
 		// FetchTokens is the number of tokens to fetch from the cache of the engine FetchFrom.
--- /dev/null
+++ b/internal/proxy/build_test.go
@@ -0,0 +1,135 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewheel/greengagewheel/internal/origin"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
+)
+
+// cutAfter streams events up to a number and breaks off inside the next one.
+func cutAfter(last int) responder {
+	return func(req receivedRequest, c net.Conn) bool {
+		return streamThenClose(eventRange(1, last)+event(last + 1)[:7])(req, c)
+	}
+}
+
+// newBuildHarness returns a harness whose endpoints have the given software versions.
+func newBuildHarness(t *testing.T, builds string, responders ...responder) *harness {
+	h := newHarness(t, responders...)
+	for i, build := range strings.Fields(builds) {
+		id := "e" + string(rune('0'+i))
+		ep := h.view.Endpoints[id]
+		ep.Build = strings.Trim(build, "-")
+		h.view.Endpoints[id] = ep
+	}
+	return h
+}
+
+// TestStreamResumedAtAnotherBuild guards against one answer with events of endpoints of two software versions.
+func TestStreamResumedAtAnotherBuild(t *testing.T) {
+	Convey("a stream goes on at an endpoint of its version, whatever is chosen first", t, func() {
+		h := newBuildHarness(t, "v1 v2 v1", cutAfter(5), streamUpTo(20, 0), streamUpTo(20, 0))
+		resp := h.send(http.MethodPost, "/resume/", "x")
+		So(resp.complete, ShouldBeTrue)
+		So(resp.body, ShouldEqual, eventRange(1, 20))
+		So(h.chooser.endpoints[1].requests(), ShouldBeEmpty)
+		So(h.chooser.endpoints[2].requests(), ShouldHaveLength, 1)
+	})
+	for name, builds := range map[string]string{
+		"another one": "v1 v2", "one that differs in case": "v1 V1", "one that is not known": "v1 -", "no known one itself": "- -",
+	} {
+		Convey("a stream is broken off if what is left has "+name, t, func() {
+			h := newBuildHarness(t, builds, cutAfter(5), streamUpTo(20, 0))
+			resp := h.send(http.MethodPost, "/resume/", "x")
+			So(resp.complete, ShouldBeFalse)
+			So(resp.body, ShouldEqual, eventRange(1, 5))
+			So(h.chooser.endpoints[1].requests(), ShouldBeEmpty)
+		})
+	}
+	Convey("an answer that brought no event goes on at any version", t, func() {
+		h := newBuildHarness(t, "v1 v2", streamThenClose(event(1)[:5]), streamUpTo(20, 0))
+		resp := h.send(http.MethodPost, "/resume/", "x")
+		So(resp.complete, ShouldBeTrue)
+		So(resp.body, ShouldEqual, eventRange(1, 20))
+	})
+	Convey("a stream is broken off if its endpoint turns out to have started again with another version", t, func() {
+		var h *harness
+		h = newBuildHarness(t, "v1 v1", func(req receivedRequest, c net.Conn) bool {
+			streamThenClose(eventRange(1, 5))(req, c)
+			<-h.chooser.firstAnswers
+			view := *h.view
+			view.Endpoints = map[string]roster.Endpoint{"e1": h.view.Endpoints["e1"]}
+			restarted := h.view.Endpoints["e0"]
+			restarted.StartedAtMS, restarted.Build = 1, "v2"
+			view.Endpoints["e0"] = restarted
+			h.newView.Store(&view)
+			_, _ = c.Write([]byte(event(6)[:7]))
+			return false
+		}, streamUpTo(20, 0))
+		resp := h.send(http.MethodPost, "/resume/", "x")
+		So(resp.complete, ShouldBeFalse)
+		So(h.chooser.endpoints[1].requests(), ShouldBeEmpty)
+	})
+}
+
+// TestStreamTakenUpAtAnotherBuild guards against requests that go on with a stream at an endpoint of another software version.
+func TestStreamTakenUpAtAnotherBuild(t *testing.T) {
+	know := func(h *harness, organisation, id, build string) {
+		h.origins.Record(origin.Record{
+			Key: origin.KeyOf(organisation, id), Origin: origin.Origin{Build: build, EndpointID: "gone"}, Left: time.Minute,
+		})
+	}
+	Convey("a request goes on at the version of the request that it names, and so does one that names it", t, func() {
+		h := newBuildHarness(t, "v1 v2", streamUpTo(20, 0), streamUpTo(20, 0))
+		know(h, "org", "first", "v2")
+		for n := range 4 {
+			resp := h.send(http.MethodPost, "/resume/", "x", "Id", "second", "Resumes", "first", "After", "7")
+			So(resp.status, ShouldEqual, http.StatusOK)
+			So(h.chooser.endpoints[1].requests(), ShouldHaveLength, n+1)
+		}
+		So(h.send(http.MethodPost, "/resume/", "x", "Id", "third", "Resumes", "second", "After", "9").status, ShouldEqual, http.StatusOK)
+		So(h.chooser.endpoints[0].requests(), ShouldBeEmpty)
+	})
+	Convey("a request whose stream's version has no endpoint is told to come back, and nothing is sent", t, func() {
+		h := newBuildHarness(t, "v1 v1", streamUpTo(20, 0), streamUpTo(20, 0))
+		know(h, "org", "first", "v2")
+		resp := h.send(http.MethodPost, "/resume/", "x", "Resumes", "first", "After", "7", "Deadline", "4000")
+		So(resp.status, ShouldEqual, http.StatusServiceUnavailable)
+		So(resp.header.Get("Retry-After"), ShouldNotBeEmpty)
+		So(h.chooser.endpoints[0].requests(), ShouldBeEmpty)
+		So(h.chooser.endpoints[1].requests(), ShouldBeEmpty)
+	})
+	for name, header := range map[string][]string{
+		"an unknown request":                      {"Resumes", "unknown", "After", "7"},
+		"one of another organisation":             {"Resumes", "foreign", "After", "7"},
+		"an unknown request, and no last event":   {"Resumes", "unknown"},
+		"none, and there are several versions":    {"After", "7"},
+		"a request that brought a head, no event": {"Resumes", "headOnly", "After", "7"},
+	} {
+		Convey("a request that names "+name+" is refused as not run", t, func() {
+			h := newBuildHarness(t, "v1 v2", streamUpTo(20, 0), streamUpTo(20, 0))
+			know(h, "other", "foreign", "v2")
+			resp := h.send(http.MethodPost, "/resume/", "x", header...)
+			So(resp.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(resp.header.Get("Retry-After"), ShouldNotBeEmpty)
+			So(h.chooser.endpoints[0].requests(), ShouldBeEmpty)
+			So(h.chooser.endpoints[1].requests(), ShouldBeEmpty)
+			So(h.proxy.OriginsUnknown(), ShouldEqual, 1)
+		})
+	}
+	Convey("a request that names no other goes on where there is but one version", t, func() {
+		h := newBuildHarness(t, "v1 v1", streamUpTo(20, 0), streamUpTo(20, 0))
+		So(h.send(http.MethodPost, "/resume/", "x", "After", "7").status, ShouldEqual, http.StatusOK)
+	})
+	Convey("the names are not looked at on routes whose streams may not be resumed", t, func() {
+		h := newBuildHarness(t, "v1 v2", streamUpTo(20, 0), streamUpTo(20, 0))
+		So(h.send(http.MethodPost, "/stream/", "x", "Resumes", "unknown").status, ShouldEqual, http.StatusOK)
+	})
+}
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -34,11 +34,11 @@
 		choice, byLeader, err := req.proxy.opt.Chooser.Pick(req.httpReq.Context(), place.Request{
 			AttemptID: req.attemptID, Service: req.service.Name, Priority: req.priority(), BodyBytes: len(req.body),
 			InputTokens: req.caller.InputTokens, OutputTokens: req.caller.OutputTokens,
-			Parts: req.caller.Parts, ExcludedIDs: req.unusableEndpoints(now, unwilling),
+			Parts: req.caller.Parts, ExcludedIDs: req.unusableEndpoints(now, unwilling), Build: req.build,
 			LatencyTarget: req.route.LatencyTarget, TimeLeft: req.deadline.Sub(now),
 		})
-		if err == nil && !req.proxy.notices.Admit(req.proxy.opt.Now(), startOf(choice)) {
-			// The endpoint gave notice while it was being chosen.
+		if err == nil && (!req.fits(choice) || !req.proxy.notices.Admit(req.proxy.opt.Now(), startOf(choice))) {
+			// The endpoint has started again or gave notice while it was being chosen.
 			req.proxy.opt.Chooser.RecordOutcome(req.attemptID, place.Withdrawn)
 			unwilling = append(unwilling, choice.ID)
 			continue
@@ -77,18 +77,9 @@
 	}
 }
 
-// buildOf returns the software version of a chosen endpoint, or an empty one if it is not known.
-func (req *request) buildOf(choice place.Choice) string {
-	ep, ok := req.proxy.opt.View().Endpoints[choice.ID]
-	if !ok || ep.StartedAtMS != choice.StartedAtMS {
-		return ""
-	}
-	return ep.Build
-}
-
-// pauseBeyond returns how long all endpoints of the service still pause, or 0 if one can be tried before giveUpAt.
+// pauseBeyond returns how long all endpoints that fit the request still pause, or 0 if one can be tried before giveUpAt.
 func (req *request) pauseBeyond(now, giveUpAt time.Time) time.Duration {
-	left := req.proxy.notices.PauseLeft(now, req.service.Name, req.proxy.opt.View().Endpoints)
+	left := req.proxy.notices.PauseLeft(now, req.service.Name, req.build, req.proxy.opt.View().Endpoints)
 	if now.Add(left).Before(giveUpAt) {
 		return 0
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -63,9 +63,9 @@
 // serve runs the request on an endpoint, retrying on others where allowed, and writes the response.
 func (req *request) serve() {
 	req.retryWindow.AddRequest(req.arrivedAt, req.proxy.opt.RetryAllowance())
-	if req.caller.Resumes != "" || req.caller.LastEventID != "" {
-		req.log.Info("stream taken up", zap.String("resumes", req.caller.Resumes), zap.String("after", req.caller.LastEventID),
-			zap.Bool("resumable", req.route.Resumable))
+	if rej := req.findOrigin(); rej != nil {
+		req.reject(rej)
+		return
 	}
 	last := attemptResult{rejection: &rejection{status: http.StatusServiceUnavailable, reason: "no time left", retryAfter: defaultRetryAfter}}
 	for req.attempts < maxAttempts {
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/blame"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/meter"
+	"github.com/greengagewheel/greengagewheel/internal/origin"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/internal/retry"
 	"github.com/greengagewheel/greengagewheel/internal/roster"
@@ -35,7 +36,7 @@
 type testDialect struct{}
 
 func (testDialect) DecodeRequest(h http.Header) (RequestInfo, error) {
-	info := RequestInfo{ID: h.Get("Id"), Key: h.Get("Key")}
+	info := RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Resumes: h.Get("Resumes"), LastEventID: h.Get("After")}
 	if ms, err := strconv.Atoi(h.Get("Deadline")); err == nil {
 		info.Deadline = time.Duration(ms) * time.Millisecond
 	}
@@ -207,15 +208,36 @@
 
 // harness is a proxy in front of fake endpoints.
 type harness struct {
-	proxy         *Proxy
-	view          *ctrl.View
+	proxy *Proxy
+	view  *ctrl.View
+	// newView, if set, is used in place of view.
+	newView       atomic.Pointer[ctrl.View]
 	crashes       crashReports
 	chooser       *roundRobin
+	origins       *localOrigins
 	addr          string
 	configCurrent atomic.Bool
 	nextID        atomic.Int64
 }
 
+// localOrigins keeps the origins of the proxy's own streams.
+type localOrigins struct {
+	mu    sync.Mutex
+	store *origin.Store
+}
+
+func (o *localOrigins) Record(rec origin.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.store.Add(time.Now(), rec)
+}
+
+func (o *localOrigins) Find(_ context.Context, key origin.Key) (origin.Origin, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.store.Find(time.Now(), key)
+}
+
 // crashReports records crash reports.
 type crashReports chan string
 
@@ -254,7 +276,7 @@
 }
 
 func newHarness(t *testing.T, responders ...responder) *harness {
-	h := &harness{chooser: &roundRobin{firstAnswers: make(chan struct{}, 1)}, crashes: make(crashReports, 100)}
+	h := &harness{chooser: &roundRobin{firstAnswers: make(chan struct{}, 1)}, origins: &localOrigins{store: origin.NewStore()}, crashes: make(crashReports, 100)}
 	for _, respond := range responders {
 		h.chooser.endpoints = append(h.chooser.endpoints, newFakeEndpoint(t, respond))
 	}
@@ -262,13 +284,14 @@
 	h.view = &ctrl.View{Table: table.New(testTable()), Crashes: map[string]ctrl.Crash{}, Endpoints: map[string]roster.Endpoint{}}
 	for i := range responders {
 		id := fmt.Sprint("e", i)
-		h.view.Endpoints[id] = roster.Endpoint{ID: id, Service: "s", State: roster.Ready}
+		h.view.Endpoints[id] = roster.Endpoint{ID: id, Service: "s", State: roster.Ready, Build: "v1"}
 	}
 	h.chooser.view = h.view
 	h.proxy = New(Options{
-		Zone: "a", Dialect: testDialect{}, View: func() *ctrl.View { return h.view }, Crashes: h.crashes,
+		Zone: "a", Dialect: testDialect{}, View: h.currentView, Crashes: h.crashes,
 		ConfigCurrent:  func(time.Time) bool { return h.configCurrent.Load() },
 		Chooser:        h.chooser,
+		Origins:        h.origins,
 		RetryAllowance: func() retry.Allowance { return retry.Allowance{Ratio: 1, Slack: 100, Window: time.Second} },
 		Now:            time.Now,
 		Meter:          testMeter, Log: zap.NewNop(),
@@ -279,6 +302,14 @@
 	return h
 }
 
+// currentView returns the configuration that the proxy works with.
+func (h *harness) currentView() *ctrl.View {
+	if view := h.newView.Load(); view != nil {
+		return view
+	}
+	return h.view
+}
+
 // callerResponse is the response received by a caller; complete is set if it was read to its end.
 type callerResponse struct {
 	status   int
--- /dev/null
+++ b/internal/proxy/origin.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/origin"
+	"github.com/greengagewheel/greengagewheel/internal/place"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
+	"github.com/greengagewheel/greengagewheel/pkg/table"
+)
+
+const (
+	// takeUpMargin is how long after its caller's deadline a stream may still be taken up.
+	takeUpMargin = 2 * time.Second
+	// defaultTakeUpTime is how long a stream may be taken up whose caller names no deadline.
+	defaultTakeUpTime = time.Minute
+)
+
+// findOrigin finds the software version at which the stream began that the request goes on with, if any. It returns a rejection if
+// that is not known: an endpoint of another version would send what does not fit.
+func (req *request) findOrigin() *rejection {
+	resumes, after := req.caller.Resumes, req.caller.LastEventID
+	if resumes == "" && after == "" || req.route.Kind != table.Streaming || !req.route.Resumable {
+		return nil
+	}
+	from, found := req.lookUpOrigin(resumes)
+	certain := found && from.Certain(req.proxy.opt.View().Endpoints)
+	req.log.Info("stream taken up", zap.String("resumes", resumes), zap.String("after", after), zap.String("build", from.Build),
+		zap.Bool("found", found), zap.Bool("certain", certain))
+	if !certain {
+		req.proxy.originsUnknown.Add(1)
+		return &rejection{
+			status: http.StatusServiceUnavailable, reason: "it is not known where the stream began", retryAfter: defaultRetryAfter,
+		}
+	}
+	req.build = from.Build
+	return nil
+}
+
+// lookUpOrigin finds the origin of the stream that the named request of the caller's organisation began. A caller that names none can
+// only be served if the endpoints of the service have had but one version.
+func (req *request) lookUpOrigin(requestID string) (origin.Origin, bool) {
+	if requestID == "" {
+		build := onlyBuild(req.proxy.opt.View().Endpoints, req.service.Name)
+		return origin.Origin{Build: build}, build != ""
+	}
+	return req.proxy.opt.Origins.Find(req.httpReq.Context(), origin.KeyOf(req.organisationName(), requestID))
+}
+
+// onlyBuild returns the software version of the endpoints of a service, or an empty one if they have several or it is not known.
+func onlyBuild(endpoints map[string]roster.Endpoint, service string) (build string) {
+	for _, ep := range endpoints {
+		if ep.Service != service {
+			continue
+		}
+		if ep.Build == "" || build != "" && ep.Build != build {
+			return ""
+		}
+		build = ep.Build
+	}
+	return build
+}
+
+// keepOrigin binds the stream to the software version of the endpoint whose first event goes to the caller, and records it for
+// requests that go on with the stream.
+func (req *request) keepOrigin(choice place.Choice) {
+	if !req.route.Resumable {
+		return
+	}
+	from := origin.Origin{Build: req.buildOf(choice), EndpointID: choice.ID, StartedAtMS: choice.StartedAtMS}
+	if !from.Certain(req.proxy.opt.View().Endpoints) {
+		from.Build = ""
+	}
+	req.from = from
+	if from.Build == "" {
+		req.log.Info("software version of the stream not known", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID))
+		return
+	}
+	req.build = from.Build
+	req.proxy.opt.Origins.Record(origin.Record{
+		Key: origin.KeyOf(req.organisationName(), req.caller.ID), Origin: from, Left: req.takeUpTime(),
+	})
+}
+
+// takeUpTime returns how long the caller may take up the stream.
+func (req *request) takeUpTime() time.Duration {
+	if req.caller.Deadline <= 0 {
+		return defaultTakeUpTime
+	}
+	return max(0, req.arrivedAt.Add(req.caller.Deadline+takeUpMargin).Sub(req.proxy.opt.Now()))
+}
+
+// fits reports whether an endpoint may go on with the request's stream, if that is bound to a software version. The leader may know
+// nothing of versions, and the endpoint may have started again since it was chosen.
+func (req *request) fits(choice place.Choice) bool {
+	if req.build == "" {
+		return true
+	}
+	known, ok := req.proxy.opt.View().Endpoints[choice.ID]
+	startedAgain := ok && known.StartedAtMS > choice.StartedAtMS
+	return req.buildOf(choice) == req.build && !startedAgain
+}
+
+// buildOf returns the software version of a chosen endpoint, or an empty one if it is not known.
+func (req *request) buildOf(choice place.Choice) string {
+	if choice.Build != "" {
+		return choice.Build
+	}
+	ep, ok := req.proxy.opt.View().Endpoints[choice.ID]
+	if !ok || ep.StartedAtMS != choice.StartedAtMS {
+		return ""
+	}
+	return ep.Build
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/meter"
 	"github.com/greengagewheel/greengagewheel/internal/notice"
+	"github.com/greengagewheel/greengagewheel/internal/origin"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/internal/retry"
@@ -70,6 +71,13 @@
 		TryPart(ctx context.Context, trial ctrl.PartTrial) bool
 	}
 
+	// Origins remembers the endpoints that streams come from, also those of other instances.
+	Origins interface {
+		Record(rec origin.Record)
+		// Find returns the origin of a request's stream, or false if that is not known.
+		Find(ctx context.Context, key origin.Key) (origin.Origin, bool)
+	}
+
 	// Options holds the dependencies of a proxy.
 	Options struct {
 		Zone    string
@@ -78,6 +86,7 @@
 		// ConfigCurrent reports whether the configuration is proven current.
 		ConfigCurrent func(now time.Time) bool
 		Chooser       Chooser
+		Origins       Origins
 		Crashes       CrashReporter
 		// RetryAllowance returns the part of a service's requests that this instance may retry.
 		RetryAllowance func() retry.Allowance
@@ -96,8 +105,10 @@
 		// limitTexts holds the limit that each endpoint named last, as it sent it, by notice.Start.
 		limitTexts sync.Map
 		// crashesSeen is the number of crashes reported, heldRequests that of requests refused for a part of their prompt.
-		crashesSeen        atomic.Int64
-		heldRequests       atomic.Int64
+		crashesSeen  atomic.Int64
+		heldRequests atomic.Int64
+		// originsUnknown is the number of requests refused as it is not known where their stream began.
+		originsUnknown     atomic.Int64
 		attemptCounter     atomic.Uint64
 		requestsInProgress atomic.Int64
 		draining           atomic.Bool
@@ -128,6 +139,9 @@
 		sentCount int
 		// excluded lists the IDs of the endpoints that failed this request.
 		excluded []string
+		// build is the software version that the stream is bound to, or empty; from is the endpoint that its first event came from.
+		build string
+		from  origin.Origin
 		// firstEventAt is the time of the first event of the current endpoint. sound is set once an answer went on.
 		firstEventAt time.Time
 		sound        bool
@@ -207,6 +221,11 @@
 	return p.crashesSeen.Load(), p.heldRequests.Load(), p.parts.heldParts()
 }
 
+// OriginsUnknown returns how many requests this instance has refused as it was not known where their stream began.
+func (p *Proxy) OriginsUnknown() int64 {
+	return p.originsUnknown.Load()
+}
+
 // StartDraining asks callers to close their connections. Requests are still served.
 func (p *Proxy) StartDraining() {
 	p.draining.Store(true)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -46,6 +46,8 @@
 	fresh []byte
 	// anyEvent is set once the current endpoint has sent a complete event.
 	anyEvent bool
+	// choice is the current endpoint.
+	choice place.Choice
 }
 
 // relayStream forwards an event stream and resumes it on another endpoint where the route allows this.
@@ -53,6 +55,7 @@
 	start time.Time) attemptResult {
 	s := &streamRelay{req: req, controller: http.NewResponseController(req.writer), header: endToEnd(resp.Header), lastID: -1}
 	for {
+		s.choice = choice
 		err := s.relay(call, resp, req.firstResponseTimeout(start, &choice), func() {
 			req.proxy.opt.Chooser.RecordFirstAnswer(req.attemptID, req.proxy.opt.Now().Sub(start))
 		})
@@ -71,7 +74,7 @@
 		if result.done || errors.Is(err, errCallerWrite) {
 			req.abort(result)
 		}
-		if !req.mayResume() {
+		if !s.mayResume() {
 			return s.endBroken(result)
 		}
 		req.excluded = append(req.excluded, choice.ID)
@@ -93,8 +96,13 @@
 	return min(left, max(gapTimeoutFactor*req.route.GapTarget, minGapTimeout))
 }
 
-// mayResume reports whether the stream may be resumed on another endpoint.
-func (req *request) mayResume() bool {
+// mayResume reports whether the stream may be resumed on another endpoint. Once the caller has a part of it, the software version must
+// be certain.
+func (s *streamRelay) mayResume() bool {
+	req := s.req
+	if s.headerSent && !req.from.Certain(req.proxy.opt.View().Endpoints) {
+		return false
+	}
 	now := req.proxy.opt.Now()
 	return req.route.Resumable && req.mayRetry() && req.attempts < maxAttempts && req.deadline.Sub(now) > minTimeLeft &&
 		req.takeRetry(now)
@@ -154,6 +162,7 @@
 		return
 	}
 	s.headerSent = true
+	s.req.keepOrigin(s.choice)
 	h := s.req.writer.Header()
 	for k, v := range s.header {
 		h[k] = v
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/group"
 	"github.com/greengagewheel/greengagewheel/internal/memb"
 	"github.com/greengagewheel/greengagewheel/internal/meter"
+	"github.com/greengagewheel/greengagewheel/internal/origin"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
 	"github.com/greengagewheel/greengagewheel/internal/picker"
 	"github.com/greengagewheel/greengagewheel/internal/proxy"
@@ -73,6 +74,7 @@
 		quorum       *quorum.Client
 		registrar    *quorum.Registrar
 		distributor  *spread.Distributor
+		origins      *origin.Keeper
 
 		// The replica of the log and its services; nil if the instance has no data folder.
 		group        *group.Group
@@ -200,6 +202,7 @@
 		opt.LocalReplica = localReplica{r.group, r.machine}
 	}
 	r.distributor = spread.New(opt)
+	r.origins = r.newOrigins()
 	r.quorum = quorum.NewClient(r.links, r.replicas, r.leader)
 	r.registrar = &quorum.Registrar{Client: r.quorum, Self: r.self, Log: r.log}
 	if r.group != nil {
@@ -243,7 +246,7 @@
 	r.crashes = newCrashReporter(r.quorum, r.log)
 	r.proxy = proxy.New(proxy.Options{
 		Zone: r.self.Zone, Dialect: wire.Dialect(), View: r.distributor.View,
-		ConfigCurrent: r.distributor.ConfigCurrent, Chooser: r.picker, Crashes: r.crashes, RetryAllowance: r.currentRetryAllowance,
+		ConfigCurrent: r.distributor.ConfigCurrent, Chooser: r.picker, Origins: r.origins, Crashes: r.crashes, RetryAllowance: r.currentRetryAllowance,
 		Now: clock.Now, Meter: r.meter, Log: r.log,
 	})
 	r.callerConns = newIdleConns()
@@ -273,12 +276,11 @@
 }
 
 func (r *Router) peerHandler(c *conf.Settings) http.Handler {
-	handlers := peer.Handlers{Pull: peer.TypedHandler(r.distributor.Serve)}
+	handlers := peer.Handlers{Pull: peer.TypedHandler(r.distributor.Serve), Ask: peer.TypedHandler(r.serveAsk)}
 	if r.group != nil {
 		handlers.Step = peer.TypedHandler(r.group.Receive)
 		handlers.Propose = peer.TypedHandler(r.quorumServer.Propose)
 		handlers.Read = peer.TypedHandler(r.quorumServer.Read)
-		handlers.Ask = peer.TypedHandler(r.pickerServer.Serve)
 		handlers.Announce = peer.TypedHandler(r.control.handleMessage)
 	}
 	mux := http.NewServeMux()
@@ -361,6 +363,7 @@
 	if r.picker != nil {
 		r.wg.Go(func() { r.registrar.Run(r.ctx) })
 		r.wg.Go(func() { r.picker.Run(r.ctx) })
+		r.wg.Go(func() { r.origins.Run(r.ctx) })
 		r.wg.Go(func() { r.prune(r.ctx) })
 		r.wg.Go(func() { r.crashes.run(r.ctx) })
 		r.wg.Go(func() { r.crashes.runParts(r.ctx) })
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -102,6 +102,7 @@
 		r.meter.SetGauge("config_age_seconds", r.distributor.ProofAge(clock.Now()).Seconds())
 		r.meter.SetGauge("endpoints", float64(len(view.Endpoints)))
 		r.meter.SetGauge("prompt_parts_suspected", float64(len(view.Parts)))
+		r.meter.SetGauge("stream_origins", float64(r.origins.Len()))
 		if r.proxy != nil {
 			r.meter.SetGauge("requests_in_progress", float64(r.proxy.RequestsInProgress()))
 			dialed, reused := r.proxy.Pools().ConnectionCounts()
@@ -110,6 +111,7 @@
 			r.meter.SetGauge("prompt_parts_held", float64(heldParts))
 			r.meter.SetGauge("endpoints_limited", float64(r.picker.LimitedEndpoints()))
 			r.meter.SetGauge("requests_refused_for_parts", float64(refused))
+			r.meter.SetGauge("streams_of_unknown_origin", float64(r.proxy.OriginsUnknown()))
 			r.meter.SetGauge("endpoint_connections_made", float64(dialed))
 			r.meter.SetGauge("endpoint_connections_reused", float64(reused))
 		}
