place: fetch prompts only from engines of the same software version

What two versions write does not fit together, and nothing says that caches do.

Change: the engine that holds the most of a prompt is found for each version.

Check: TestCacheIsFetchedFromAnotherBuild failed in both parts before (4,100 tokens from the other version), passes; go test ./internal/{place,picker,bench}.

--- a/internal/place/affinity.go
+++ b/internal/place/affinity.go
@@ -6,16 +6,24 @@
 // prefill time of its shared parts. It decides between engines of similar load.
 const preferredGain = 1.0
 
-// promptLocation identifies the engines that are likely to have a request's prompt in their caches.
-type promptLocation struct {
-	// preferred is the engine that all balancers assume to hold the shared parts of the prompt, of sharedTokens tokens, while the
-	// real location is unknown. Without it, each entry instance that places on its own would have them prefilled again.
-	preferred    *endpoint
-	sharedTokens int
-	// holder is the engine that has the most leading tokens of the prompt, holderTokens of them.
-	holder       *endpoint
-	holderTokens int
-}
+type (
+	// promptLocation identifies the engines that are likely to have a request's prompt in their caches.
+	promptLocation struct {
+		// preferred is the engine that all balancers assume to hold the shared parts of the prompt, of sharedTokens tokens, while the
+		// real location is unknown. Without it, each entry instance that places on its own would have them prefilled again.
+		preferred    *endpoint
+		sharedTokens int
+		// holders lists, for each software version, the engine that has the most leading tokens of the prompt. Caches of different
+		// versions do not fit together.
+		holders []promptHolder
+	}
+
+	// promptHolder is an engine that has a number of leading tokens of a prompt.
+	promptHolder struct {
+		engine *endpoint
+		tokens int
+	}
+)
 
 // locatePrompt finds the engines that are likely to have a request's prompt cached.
 func (b *Balancer) locatePrompt(req *Request) (loc promptLocation) {
@@ -28,13 +36,36 @@
 		if ep.promptCache == nil || ep.info.State != roster.Ready {
 			continue
 		}
-		if tokens := ep.cachedTokens(req, &loc); tokens > loc.holderTokens {
-			loc.holder, loc.holderTokens = ep, tokens
+		if tokens := ep.cachedTokens(req, &loc); tokens > 0 {
+			loc.addHolder(promptHolder{ep, tokens})
 		}
 	}
 	return loc
 }
 
+// addHolder makes an engine the holder for its software version if it has more tokens than the present one.
+func (loc *promptLocation) addHolder(h promptHolder) {
+	for i := range loc.holders {
+		if known := &loc.holders[i]; known.engine.info.Build == h.engine.info.Build {
+			if h.tokens > known.tokens {
+				*known = h
+			}
+			return
+		}
+	}
+	loc.holders = append(loc.holders, h)
+}
+
+// holder returns the engine of a software version that has the most leading tokens of the prompt, or none.
+func (loc *promptLocation) holder(build string) promptHolder {
+	for _, h := range loc.holders {
+		if h.engine.info.Build == build {
+			return h
+		}
+	}
+	return promptHolder{}
+}
+
 // preferredEngine chooses an engine without a limit by rendezvous hashing of the shared parts of a prompt, so that all instances with
 // the same endpoints choose the same one, and returns the number of tokens in these parts. The last part of a prompt belongs to the
 // request or its session and is not shared.
@@ -81,8 +112,9 @@
 		return 0, 0, nil
 	}
 	cached := ep.cachedTokens(req, &loc)
-	if missing := loc.holderTokens - cached; loc.holder != ep && missing >= minFetchTokens {
-		cached, fetchTokens, source = loc.holderTokens, missing, loc.holder
+	holder := loc.holder(ep.info.Build)
+	if missing := holder.tokens - cached; holder.engine != ep && missing >= minFetchTokens {
+		cached, fetchTokens, source = holder.tokens, missing, holder.engine
 	}
 	return max(0, req.InputTokens-cached), fetchTokens, source
 }
--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -318,7 +318,7 @@
 		}
 		total += othersCostFactor*ep.latency.prefillTime(prefillTokens) +
 			time.Duration(fetchCostFactor*float64(ep.latency.prefillTime(fetchTokens)))
-		if loc.preferred == ep && loc.holderTokens < loc.sharedTokens {
+		if loc.preferred == ep && loc.holder(ep.info.Build).tokens < loc.sharedTokens {
 			total -= time.Duration(preferredGain * float64(ep.latency.prefillTime(loc.sharedTokens)))
 		}
 	} else {
--- a/internal/place/build_test.go
+++ b/internal/place/build_test.go
@@ -61,3 +61,35 @@
 		So(b.LimitedFor(now, &req), ShouldBeBetween, 0, time.Second+1)
 	})
 }
+
+// TestCacheIsFetchedFromAnotherBuild guards against prompts that an engine fetches from the cache of one of another software version.
+func TestCacheIsFetchedFromAnotherBuild(t *testing.T) {
+	now := time.Unix(1000, 0)
+	parts := []PromptPart{{ID: 1, Tokens: 4000}, {ID: 2, Tokens: 100}}
+	req := func(id string, excluded ...string) Request {
+		return Request{
+			AttemptID: id, Service: "m", InputTokens: 4100, Parts: parts, ExcludedIDs: excluded, TimeLeft: time.Second,
+		}
+	}
+	Convey("a prompt is fetched from an engine of the same version, though another holds more of it", t, func() {
+		b := newBuildBalancer("v1", "v2", "v2")
+		b.RecordCached("e0", parts)
+		b.RecordCached("e1", parts[:1])
+		b.RecordCached("e2", nil)
+		choice, ok := b.Place(now, req("a", "e0", "e1"))
+		So(ok, ShouldBeTrue)
+		So(choice.FetchTokens, ShouldEqual, 4000)
+		So(choice.FetchFrom, ShouldEqual, b.endpoints["e1"].info.Addr)
+		So(choice.PrefillTokens, ShouldEqual, 100)
+	})
+	Convey("it is read again if only engines of another version hold it", t, func() {
+		b := newBuildBalancer("v1", "v2")
+		b.RecordCached("e0", parts)
+		b.RecordCached("e1", nil)
+		choice, ok := b.Place(now, req("a", "e0"))
+		So(ok, ShouldBeTrue)
+		So(choice.FetchTokens, ShouldEqual, 0)
+		So(choice.FetchFrom.IsValid(), ShouldBeFalse)
+		So(choice.PrefillTokens, ShouldEqual, 4100)
+	})
+}
