proxy, egress: check an engine's start before a stream goes on there

What callers would see: a stream that goes on at another software version than its own, though the version of the endpoint was known: its process has started again with another one under the ID and address of the earlier one, and its first heartbeat has not come yet.

Cause: the ID proves the endpoint, not the start of it that has the version.

Change: a request bound to a version is sent to an engine only on a connection on which its process has told its start, which must be the chosen one. One query a connection, as the process is the same for its life.

Check: TestStreamGoesOnAtRestartedServer failed before (the stream held events of v1 and v2), passes; TestStreamSentToUnprovenProcess; go test ./internal/proxy and the TestStreamGoesOnAt* of ./platform pass.

--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -23,6 +23,8 @@
 	maxForeignResponses = 4
 	// maxSkippedBodyBytes is the largest body of a skipped response, in bytes.
 	maxSkippedBodyBytes = 1 << 20
+	// maxQueryBytes is the largest answer to a query, in bytes.
+	maxQueryBytes = 64 << 10
 	// bodyWriteGrace is how long to wait for the rest of the body to be written once the response is complete.
 	bodyWriteGrace = 50 * time.Millisecond
 )
@@ -30,7 +32,10 @@
 // ErrUnsent means that no byte of the request was written.
 var ErrUnsent = errors.New("nothing was sent to the endpoint")
 
-var errSkippedTooLarge = errors.New("the body to be skipped is too large")
+var (
+	errSkippedTooLarge = errors.New("the body to be skipped is too large")
+	errConnectionEnds  = errors.New("the connection ends with the answer")
+)
 
 type (
 	// Request is a request to be written to a connection. Target is the request target as in the request line.
@@ -191,3 +196,34 @@
 	}
 	return timeout - idleTimeoutMargin
 }
+
+// Query requests a small document with GET on a connection, which stays usable for another request unless an error is returned. The
+// error is also returned if the answer is not 200 or longer than 64 KiB.
+func (p *Pools) Query(ctx context.Context, conn *Conn, target string, timeout time.Duration) ([]byte, error) {
+	peer := conn.dest.Addr.String()
+	call, err := p.Start(ctx, conn, &Request{Method: http.MethodGet, Target: target, Host: peer, Header: http.Header{}}, timeout)
+	if err != nil {
+		call.Abort()
+		return nil, err
+	}
+	resp, err := call.ReadResponse(func(*http.Response) bool { return true })
+	if err != nil {
+		call.Abort()
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxQueryBytes+1))
+	switch {
+	case err != nil:
+	case len(body) > maxQueryBytes:
+		err = errSkippedTooLarge
+	case resp.StatusCode != http.StatusOK:
+		err = fmt.Errorf("status %d", resp.StatusCode)
+	case resp.Close || answer.FramingOf(resp) == answer.FramedByConnection || !call.stopCancel():
+		err = errConnectionEnds
+	}
+	if err != nil {
+		call.Abort()
+		return nil, fault.Wrap("query "+target, peer, err)
+	}
+	return body, nil
+}
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -62,6 +62,8 @@
 		idleSince   time.Time
 		idleTimeout time.Duration
 		reused      bool
+		// provenStart is the start time of the endpoint's process as it told itself on this connection, or 0.
+		provenStart int64
 	}
 )
 
@@ -129,6 +131,17 @@
 	p.idle[c.dest] = append(p.idle[c.dest], c)
 }
 
+// ProvenStart returns the start time that SetProvenStart was called with, or 0. The process at the other end is the same for the life
+// of a connection.
+func (c *Conn) ProvenStart() int64 {
+	return c.provenStart
+}
+
+// SetProvenStart records the start time of the endpoint's process, in Unix milliseconds.
+func (c *Conn) SetProvenStart(startedAtMS int64) {
+	c.provenStart = startedAtMS
+}
+
 // Prune closes expired idle connections and those to endpoints for which inUse returns false.
 func (p *Pools) Prune(now time.Time, inUse func(Dest) bool) {
 	p.mu.Lock()
--- a/internal/proxy/build_test.go
+++ b/internal/proxy/build_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/origin"
 	"github.com/greengagewheel/greengagewheel/internal/roster"
+	"github.com/greengagewheel/greengagewheel/pkg/table"
 )
 
 // cutAfter streams events up to a number and breaks off inside the next one.
@@ -133,3 +134,45 @@
 		So(h.send(http.MethodPost, "/stream/", "x", "Resumes", "unknown").status, ShouldEqual, http.StatusOK)
 	})
 }
+
+// TestStreamSentToUnprovenProcess guards against streams that go on at a process which is not the start of the endpoint that was chosen.
+func TestStreamSentToUnprovenProcess(t *testing.T) {
+	engine := func(started string) responder {
+		return func(req receivedRequest, c net.Conn) bool {
+			if req.URL.Path == "/start" {
+				writeResponse(c, req, http.StatusOK, started)
+				return true
+			}
+			return streamUpTo(20, 0)(req, c)
+		}
+	}
+	for started, status := range map[string]int{
+		"7": http.StatusOK, "untold": http.StatusOK, "8": http.StatusServiceUnavailable, "x": http.StatusServiceUnavailable,
+	} {
+		Convey("an engine chosen as started at 7 that tells "+started, t, func() {
+			h := newBuildHarness(t, "v1", engine(started))
+			tbl := testTable()
+			tbl.Services[0].Engine = &table.Engine{Slots: 8, Tokens: 1000}
+			h.view.Table = table.New(tbl)
+			ep := h.view.Endpoints["e0"]
+			ep.StartedAtMS = 7
+			h.view.Endpoints["e0"] = ep
+			h.origins.Record(origin.Record{Key: origin.KeyOf("org", "first"), Origin: origin.Origin{Build: "v1"}, Left: time.Minute})
+			for range 2 {
+				So(h.send(http.MethodPost, "/resume/", "x", "Resumes", "first", "After", "7").status, ShouldEqual, status)
+			}
+			targets := map[string]int{}
+			for _, req := range h.chooser.endpoints[0].requests() {
+				targets[req.URL.Path]++
+			}
+			if status == http.StatusOK {
+				So(targets["/resume/"], ShouldEqual, 2)
+			} else {
+				So(targets["/resume/"], ShouldEqual, 0)
+			}
+			if started == "7" {
+				So(targets["/start"], ShouldEqual, 1)
+			}
+		})
+	}
+}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -175,6 +175,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := req.checkStart(conn, choice); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	h := endToEnd(req.httpReq.Header)
 	req.proxy.opt.Dialect.EncodeRequest(h, req.forwardInfo(choice, after))
 	req.sentAt = req.proxy.opt.Now()
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -63,6 +63,18 @@
 	}
 }
 
+func (testDialect) StartTarget() string {
+	return "/start"
+}
+
+func (testDialect) DecodeStart(body []byte) (startedAtMS int64, told bool, err error) {
+	if string(body) == "untold" {
+		return 0, false, nil
+	}
+	startedAtMS, err = strconv.ParseInt(string(body), 10, 64)
+	return startedAtMS, true, err
+}
+
 func (testDialect) DecodeResponse(status int, h http.Header) ResponseInfo {
 	pause, _ := time.ParseDuration(h.Get("Pause"))
 	limit := RateLimit{Named: h.Get("Limit") != "", Text: h.Get("Limit")}
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -6,6 +6,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/egress"
+	"github.com/greengagewheel/greengagewheel/internal/fault"
 	"github.com/greengagewheel/greengagewheel/internal/origin"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/internal/roster"
@@ -15,6 +17,8 @@
 const (
 	// takeUpMargin is how long after its caller's deadline a stream may still be taken up.
 	takeUpMargin = 2 * time.Second
+	// startQueryTimeout bounds the wait for an engine to tell its start time: several round trips between zones.
+	startQueryTimeout = 300 * time.Millisecond
 	// defaultTakeUpTime is how long a stream may be taken up whose caller names no deadline.
 	defaultTakeUpTime = time.Minute
 )
@@ -104,6 +108,33 @@
 	return req.buildOf(choice) == req.build && !startedAgain
 }
 
+// checkStart returns an error if the process at the other end of a connection is not the chosen start of an engine, for a request that
+// is bound to a software version. A process that has just started under the ID and address of an earlier one accepts the request but
+// may have another version, and its announcement may come late.
+func (req *request) checkStart(conn *egress.Conn, choice place.Choice) error {
+	if req.build == "" || req.service.Engine == nil {
+		return nil
+	}
+	if conn.ProvenStart() == 0 {
+		body, err := req.proxy.pools.Query(req.httpReq.Context(), conn, req.proxy.opt.Dialect.StartTarget(), startQueryTimeout)
+		if err != nil {
+			return err
+		}
+		startedAtMS, told, err := req.proxy.opt.Dialect.DecodeStart(body)
+		if err != nil {
+			return fault.Wrap("decode start", choice.Addr.String(), err)
+		}
+		if !told {
+			return nil
+		}
+		conn.SetProvenStart(startedAtMS)
+	}
+	if conn.ProvenStart() != choice.StartedAtMS {
+		return fault.Errorf("check start", choice.Addr.String(), "the process started at %d, not at %d", conn.ProvenStart(), choice.StartedAtMS)
+	}
+	return nil
+}
+
 // buildOf returns the software version of a chosen endpoint, or an empty one if it is not known.
 func (req *request) buildOf(choice place.Choice) string {
 	if choice.Build != "" {
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -80,6 +80,10 @@
 		DecodeRequest(h http.Header) (RequestInfo, error)
 		// EncodeRequest turns h, a copy of the request's header, into the header sent to the endpoint.
 		EncodeRequest(h http.Header, info ForwardInfo)
+		// StartTarget returns the request target at which model engines tell their start time.
+		StartTarget() string
+		// DecodeStart decodes an engine's answer at that target. told is unset if it has no start time, which is in Unix milliseconds.
+		DecodeStart(body []byte) (startedAtMS int64, told bool, err error)
 		// DecodeResponse decodes the status and header of an endpoint's response.
 		DecodeResponse(status int, h http.Header) ResponseInfo
 	}
