--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -131,6 +131,11 @@
 	p.idle[c.dest] = append(p.idle[c.dest], c)
 }
 
+// Reused reports whether the connection served earlier requests.
+func (c *Conn) Reused() bool {
+	return c.reused
+}
+
 // ProvenStart returns the start time that SetProvenStart was called with, or 0. The process at the other end is the same for the life
 // of a connection.
 func (c *Conn) ProvenStart() int64 {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -173,8 +173,12 @@
 	ctx := req.httpReq.Context()
 	conn, err := req.proxy.pools.Get(ctx, req.proxy.opt.Now(), egress.Dest{ID: choice.ID, Addr: choice.Addr, StartedAtMS: choice.StartedAtMS})
 	if err != nil {
+		req.proxy.links.connected(req.proxy.opt.Now(), choice.ID, err)
 		return nil, err
 	}
+	if !conn.Reused() {
+		req.proxy.links.connected(req.proxy.opt.Now(), choice.ID, nil)
+	}
 	if err := req.checkStart(conn, choice); err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -265,6 +269,7 @@
 		return info.ID == req.caller.ID || info.ID == "" && (info.NotRun || info.Misdirected)
 	})
 	if err == nil {
+		req.proxy.links.heard(req.proxy.opt.Now())
 		req.framing = answer.FramingOf(resp)
 		if info.Pause == 0 && !info.Misdirected {
 			req.proxy.notices.MarkAnswered(req.proxy.opt.Now(), startOf(choice))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -102,6 +102,7 @@
 		retryWindows *retryWindows
 		notices      *notice.Board
 		parts        *partWatch
+		links        *linkWatch
 		// limitTexts holds the limit that each endpoint named last, as it sent it, by notice.Start.
 		limitTexts sync.Map
 		// crashesSeen is the number of crashes reported, heldRequests that of requests refused for a part of their prompt.
@@ -183,6 +184,7 @@
 func New(opt Options) *Proxy {
 	return &Proxy{
 		opt: opt, pools: egress.New(), retryWindows: newRetryWindows(), notices: notice.New(), parts: newPartWatch(opt.Log),
+		links: newLinkWatch(opt.Log),
 		startedAt: opt.Now(),
 	}
 }
@@ -221,6 +223,11 @@
 	return p.crashesSeen.Load(), p.heldRequests.Load(), p.parts.heldParts()
 }
 
+// ReachesEndpoints reports whether this instance reaches endpoints over connections of its own.
+func (p *Proxy) ReachesEndpoints() bool {
+	return p.links.reached(p.opt.Now())
+}
+
 // OriginsUnknown returns how many requests this instance has refused as it was not known where their stream began.
 func (p *Proxy) OriginsUnknown() int64 {
 	return p.originsUnknown.Load()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -183,6 +183,7 @@
 		n, err := resp.Body.Read(buf)
 		timeout = s.req.gapTimeout()
 		if n > 0 {
+			s.req.proxy.links.heard(s.req.proxy.opt.Now())
 			s.buffered = append(s.buffered, buf[:n]...)
 			if !firstSeen {
 				firstSeen = true
--- /dev/null
+++ b/internal/reach/doc.go
@@ -0,0 +1,2 @@
+// Package reach decides whether an instance reaches the endpoints itself.
+package reach
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -93,6 +93,14 @@
 	return allowance
 }
 
+// gaugeOf returns 1 for true and 0 for false.
+func gaugeOf(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
 // updateGauges regularly exports gauges until ctx ends.
 func (r *Router) updateGauges(ctx context.Context) {
 	pace.Every(ctx, gaugeInterval, func() {
@@ -112,6 +120,7 @@
 			r.meter.SetGauge("endpoints_limited", float64(r.picker.LimitedEndpoints()))
 			r.meter.SetGauge("requests_refused_for_parts", float64(refused))
 			r.meter.SetGauge("streams_of_unknown_origin", float64(r.proxy.OriginsUnknown()))
+			r.meter.SetGauge("endpoints_reached", gaugeOf(r.proxy.ReachesEndpoints()))
 			r.meter.SetGauge("endpoint_connections_made", float64(dialed))
 			r.meter.SetGauge("endpoint_connections_reused", float64(reused))
 		}
