proxy, reach, detour: entries without links to endpoints send requests by other entries

Cause: an instance knew no other way to an endpoint than its own, and took its own failures for those of endpoints: it tried four, reported crashes that did not happen (45 in 8 s) and refused.

Change: package reach tells an own cut from endpoints that are down, from the instance's attempts and from whether another entry reaches the same endpoint; package detour sends requests by that entry, which connects itself or declines. Crashes are reported only if another endpoint is reached or another instance does not reach it either; failures of a cut instance do not count against endpoints.

Why it works: nothing is sent twice, as a receipt tells whether anything was sent before the answer; what breaks after it may have run. A body ends with a mark, so that a break on the way is no end.

--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -29,6 +29,16 @@
 	bodyWriteGrace = 50 * time.Millisecond
 )
 
+// StatusError is an answer to a query with another status than 200.
+type StatusError struct {
+	Status int
+}
+
+// Error tells the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d", e.Status)
+}
+
 // ErrUnsent means that no byte of the request was written.
 var ErrUnsent = errors.New("nothing was sent to the endpoint")
 
@@ -217,7 +227,7 @@
 	case len(body) > maxQueryBytes:
 		err = errSkippedTooLarge
 	case resp.StatusCode != http.StatusOK:
-		err = fmt.Errorf("status %d", resp.StatusCode)
+		err = &StatusError{resp.StatusCode}
 	case resp.Close || answer.FramingOf(resp) == answer.FramedByConnection || !call.stopCancel():
 		err = errConnectionEnds
 	}
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -45,8 +45,14 @@
 		StartedAtMS int64
 	}
 
+	// Dialer opens connections to endpoints.
+	Dialer interface {
+		DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+	}
+
 	// Pools holds the idle connections to all endpoints.
 	Pools struct {
+		dialer Dialer
 		mu     sync.Mutex
 		idle   map[Dest][]*Conn
 		dialed int64
@@ -68,8 +74,13 @@
 )
 
 // New returns empty pools.
-func New() *Pools {
-	return &Pools{idle: map[Dest][]*Conn{}}
+func New(dialer Dialer) *Pools {
+	return &Pools{dialer: dialer, idle: map[Dest][]*Conn{}}
+}
+
+// NewDialer returns a dialer whose connections are given up when their endpoint does not answer keep-alive probes.
+func NewDialer() *net.Dialer {
+	return &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}}
 }
 
 // ConnectionCounts returns the number of connections made, and how often an idle one was taken from a pool, even if it proved
@@ -80,21 +91,19 @@
 	return p.dialed, p.reused
 }
 
-// Get returns an idle connection that is still open and has no unread data, or a new one. An error means that nothing
-// was sent.
-func (p *Pools) Get(ctx context.Context, now time.Time, dest Dest) (*Conn, error) {
+// Idle returns an idle connection that is still open and has no unread data, or nil.
+func (p *Pools) Idle(now time.Time, dest Dest) *Conn {
 	for {
 		c := p.takeIdle(now, dest)
 		if c == nil {
-			break
+			return nil
 		}
 		if !conns.PeerClosed(c.TCPConn) && !conns.HasUnreadData(c.TCPConn) {
 			c.reused = true
-			return c, nil
+			return c
 		}
 		_ = c.TCPConn.Close()
 	}
-	return p.dial(ctx, dest)
 }
 
 func (p *Pools) takeIdle(now time.Time, dest Dest) *Conn {
@@ -168,7 +177,7 @@
 
 // Reachable reports whether an endpoint accepts a new connection.
 func (p *Pools) Reachable(dest Dest) bool {
-	c, err := p.dial(context.Background(), dest)
+	c, err := p.Dial(context.Background(), dest)
 	if err != nil {
 		return false
 	}
@@ -176,12 +185,12 @@
 	return true
 }
 
-// dial opens a connection. If the first attempt takes long, it starts a second one and uses whichever succeeds first.
-func (p *Pools) dial(ctx context.Context, dest Dest) (*Conn, error) {
+// Dial opens a connection. If the first attempt takes long, it starts a second one and uses whichever succeeds first.
+func (p *Pools) Dial(ctx context.Context, dest Dest) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	results := make(chan dialResult, dialAttempts)
-	go dialAfter(ctx, dest, 0, results)
-	go dialAfter(ctx, dest, secondDialDelay, results)
+	go p.dialAfter(ctx, dest, 0, results)
+	go p.dialAfter(ctx, dest, secondDialDelay, results)
 	var err error
 	for range dialAttempts {
 		result := <-results
@@ -205,13 +214,12 @@
 	err  error
 }
 
-func dialAfter(ctx context.Context, dest Dest, delay time.Duration, results chan<- dialResult) {
+func (p *Pools) dialAfter(ctx context.Context, dest Dest, delay time.Duration, results chan<- dialResult) {
 	if delay > 0 && !pace.Sleep(ctx, delay) {
 		results <- dialResult{err: ctx.Err()}
 		return
 	}
-	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}}
-	c, err := dialer.DialContext(ctx, "tcp", dest.Addr.String())
+	c, err := p.dialer.DialContext(ctx, "tcp", dest.Addr.String())
 	if err != nil {
 		results <- dialResult{err: err}
 		return
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -101,6 +101,12 @@
 	return ln.pool.Do(r)
 }
 
+// Send sends an HTTP request to a peer over the connection that is shared by all requests to it, authenticated with the shared secret.
+func (l *Links) Send(addr netip.AddrPort, req *http.Request) (*http.Response, error) {
+	l.calls.Add(1)
+	return l.link(l.secondary, addr).Do(req)
+}
+
 // Call sends req to a peer by a method of the protocol and decodes the answer into resp. If it takes longer than timeout, it
 // fails, and the next call uses a new connection.
 func (l *Links) Call(ctx context.Context, addr netip.AddrPort, m method, timeout time.Duration, req, resp any) error {
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -128,7 +128,7 @@
 		return
 	}
 	now, ep := req.proxy.opt.Now(), startOf(choice)
-	if info.Pause > 0 {
+	if info.Pause > 0 && !req.relayed() {
 		req.proxy.notices.MarkPaused(now, ep, info.Pause)
 		req.log.Info("endpoint asks for a pause", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
 			zap.Duration("pause", info.Pause))
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -65,6 +65,7 @@
 	log := req.log.With(zap.String("endpoint", choice.ID), zap.Int("events", req.eventCount),
 		zap.Strings("parts", partIDs(req.caller.Parts)), zap.Strings("suspects", hexIDs(suspects)))
 	fingerprint, service, hasParts := req.fingerprint(), req.service.Name, len(req.caller.Parts) > 0
+	dest := egress.Dest{ID: choice.ID, Addr: choice.Addr, StartedAtMS: choice.StartedAtMS}
 	report := func() {
 		p.crashesSeen.Add(1)
 		log.Warn("endpoint went down under the request", zap.String("print", fingerprint))
@@ -75,8 +76,12 @@
 		}
 	}
 	time.AfterFunc(crashProbeDelay, func() {
-		if !p.pools.Reachable(egress.Dest{ID: choice.ID, Addr: choice.Addr, StartedAtMS: choice.StartedAtMS}) {
-			report()
+		if !p.pools.Reachable(dest) {
+			if p.isDown(dest) {
+				report()
+			} else {
+				log.Info("no crash reported: another instance reaches the endpoint")
+			}
 			return
 		}
 		time.AfterFunc(restartNoticeDelay, func() {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/answer"
+	"github.com/greengagewheel/greengagewheel/internal/detour"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/pkg/table"
@@ -167,29 +169,61 @@
 	return info
 }
 
-// send sends the request to an endpoint. A nil call means that nothing was sent.
-func (req *request) send(choice place.Choice, after string) (*egress.Call, error) {
+// send sends the request to an endpoint: over a connection of this instance, or by way of another instance while this one does not
+// reach endpoints. A nil exchange means that nothing was sent.
+func (req *request) send(choice place.Choice, after string) (exchange, error) {
 	req.attempts++
-	ctx := req.httpReq.Context()
-	conn, err := req.proxy.pools.Get(ctx, req.proxy.opt.Now(), egress.Dest{ID: choice.ID, Addr: choice.Addr, StartedAtMS: choice.StartedAtMS})
-	if err != nil {
-		req.proxy.links.connected(req.proxy.opt.Now(), choice.ID, err)
-		return nil, err
+	req.via, req.answered = netip.AddrPort{}, false
+	p, ctx := req.proxy, req.httpReq.Context()
+	now, dest := p.opt.Now(), egress.Dest{ID: choice.ID, Addr: choice.Addr, StartedAtMS: choice.StartedAtMS}
+	if p.links.useOld(now) {
+		if conn := p.pools.Idle(now, dest); conn != nil {
+			return req.sendOn(conn, choice, after)
+		}
+	}
+	if p.links.reached(now) {
+		conn, err := p.pools.Dial(ctx, dest)
+		if err == nil {
+			return req.sendOn(conn, choice, after)
+		}
+		p.links.failed(p.opt.Now(), choice.ID)
+		if p.links.reached(p.opt.Now()) {
+			return nil, err
+		}
+		call, viaErr := req.sendVia(choice, after)
+		if call == nil {
+			return nil, errors.Join(err, viaErr)
+		}
+		return call, viaErr
 	}
-	if !conn.Reused() {
-		req.proxy.links.connected(req.proxy.opt.Now(), choice.ID, nil)
+	call, err := req.sendVia(choice, after)
+	if call != nil || !errors.Is(err, errNoInstance) {
+		return call, err
 	}
-	if err := req.checkStart(conn, choice); err != nil {
-		_ = conn.Close()
+	conn, err := p.pools.Dial(ctx, dest)
+	if err != nil {
 		return nil, err
 	}
+	return req.sendOn(conn, choice, after)
+}
+
+// sendOn sends the request on a connection. A nil exchange means that nothing was sent.
+func (req *request) sendOn(conn *egress.Conn, choice place.Choice, after string) (exchange, error) {
+	p, ctx := req.proxy, req.httpReq.Context()
+	if req.mustProveStart() {
+		if err := p.proveStart(ctx, conn, choice.StartedAtMS); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+	}
 	h := endToEnd(req.httpReq.Header)
-	req.proxy.opt.Dialect.EncodeRequest(h, req.forwardInfo(choice, after))
-	req.sentAt = req.proxy.opt.Now()
-	call, err := req.proxy.pools.Start(ctx, conn, &egress.Request{
+	p.opt.Dialect.EncodeRequest(h, req.forwardInfo(choice, after))
+	req.sentAt = p.opt.Now()
+	call, err := p.pools.Start(ctx, conn, &egress.Request{
 		Method: req.httpReq.Method, Target: req.httpReq.RequestURI, Host: req.httpReq.Host, Header: h, Body: req.body,
-	}, req.deadline.Sub(req.proxy.opt.Now()))
+	}, req.deadline.Sub(p.opt.Now()))
 	if errors.Is(err, egress.ErrUnsent) {
+		p.links.broken(p.opt.Now(), choice.ID, conn.Reused(), false, false)
 		call.Abort()
 		return nil, err
 	}
@@ -261,32 +295,43 @@
 
 // readResponseHead reads the status line and header of the response that belongs to the request, and takes the notices that the
 // endpoint gives in it or in responses to earlier requests.
-func (req *request) readResponseHead(choice place.Choice, call *egress.Call) (*http.Response, ResponseInfo, error) {
+func (req *request) readResponseHead(choice place.Choice, call exchange) (*http.Response, ResponseInfo, error) {
 	var info ResponseInfo
 	resp, err := call.ReadResponse(func(resp *http.Response) bool {
 		info = req.proxy.opt.Dialect.DecodeResponse(resp.StatusCode, resp.Header)
 		req.takeNotices(choice, info)
-		return info.ID == req.caller.ID || info.ID == "" && (info.NotRun || info.Misdirected)
+		return info.belongsTo(req.caller.ID)
 	})
-	if err == nil {
-		req.proxy.links.heard(req.proxy.opt.Now())
-		req.framing = answer.FramingOf(resp)
-		if info.Pause == 0 && !info.Misdirected {
-			req.proxy.notices.MarkAnswered(req.proxy.opt.Now(), startOf(choice))
-		}
+	if err != nil {
+		return nil, info, err
+	}
+	now := req.proxy.opt.Now()
+	req.answered, req.framing = true, answer.FramingOf(resp)
+	if req.relayed() {
+		req.proxy.links.relayed(now, choice.ID, true)
+		return resp, info, nil
+	}
+	req.proxy.links.answered(now, !call.Reused())
+	if info.Pause == 0 && !info.Misdirected {
+		req.proxy.notices.MarkAnswered(now, startOf(choice))
 	}
-	return resp, info, err
+	return resp, info, nil
 }
 
 // handleUnsent handles an attempt for which nothing was sent.
 func (req *request) handleUnsent(choice place.Choice, err error) attemptResult {
-	req.proxy.opt.Chooser.RecordOutcome(req.attemptID, place.ConnectFailed)
+	outcome := place.ConnectFailed
+	if req.proxy.links.isCut(req.proxy.opt.Now()) {
+		// The failure says nothing about the endpoint.
+		outcome = place.Withdrawn
+	}
+	req.proxy.opt.Chooser.RecordOutcome(req.attemptID, outcome)
 	req.log.Info("endpoint not reached", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Error(err))
 	return attemptResult{retry: true, rejection: &rejection{status: http.StatusServiceUnavailable, reason: "endpoint not reached"}}
 }
 
 // handleNotRun handles an endpoint's response that it has not run the request.
-func (req *request) handleNotRun(choice place.Choice, call *egress.Call, resp *http.Response, info ResponseInfo,
+func (req *request) handleNotRun(choice place.Choice, call exchange, resp *http.Response, info ResponseInfo,
 	outcome place.Outcome) attemptResult {
 	err := call.SetReadTimeout(min(refusalBodyTimeout, req.deadline.Sub(req.proxy.opt.Now())))
 	if err == nil {
@@ -306,10 +351,13 @@
 }
 
 // handleBroken handles an attempt that may have run the request but returned no complete response.
-func (req *request) handleBroken(choice place.Choice, call *egress.Call, err error) attemptResult {
+func (req *request) handleBroken(choice place.Choice, call exchange, err error) attemptResult {
 	call.Abort()
 	req.mayHaveRun = true
 	now := req.proxy.opt.Now()
+	if !req.callerGone() {
+		req.recordBroken(now, choice, call, err)
+	}
 	outcome, rej := place.ConnectionLost, &rejection{status: http.StatusBadGateway, reason: "the endpoint broke off"}
 	switch {
 	case req.callerGone():
@@ -321,7 +369,9 @@
 	case errors.Is(err, errForeignResponse):
 		outcome = place.Failed
 	default:
-		req.reportIfCrashed(choice)
+		if !req.relayed() {
+			req.reportIfCrashed(choice)
+		}
 		req.suspect = !req.sound && req.proxy.opt.View().Parts.AnySuspected(req.service.Name, req.sharedParts())
 	}
 	req.proxy.opt.Chooser.RecordOutcome(req.attemptID, outcome)
@@ -331,13 +381,26 @@
 	return attemptResult{retry: retry, rejection: rej}
 }
 
+// recordBroken records what a broken attempt says of the links of this instance, or of the one by way of which it was sent.
+func (req *request) recordBroken(now time.Time, choice place.Choice, call exchange, err error) {
+	switch {
+	case errors.Is(err, errForeignResponse), errors.Is(err, errCallerWrite), !now.Before(req.deadline):
+	case req.relayed():
+		if errors.Is(err, detour.ErrWay) && !isTimeout(err) {
+			req.proxy.detours.avoid(now, req.via)
+		}
+	default:
+		req.proxy.links.broken(now, choice.ID, call.Reused(), isTimeout(err), req.answered)
+	}
+}
+
 func isTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // relayBuffered forwards a response once it is complete, or as it arrives if it is larger than maxBufferedResponseBytes.
-func (req *request) relayBuffered(choice place.Choice, call *egress.Call, resp *http.Response, info ResponseInfo) attemptResult {
+func (req *request) relayBuffered(choice place.Choice, call exchange, resp *http.Response, info ResponseInfo) attemptResult {
 	if resp.ContentLength > maxBufferedResponseBytes {
 		return req.relayUnbuffered(choice, call, resp, info)
 	}
@@ -405,7 +468,7 @@
 }
 
 // relayUnbuffered forwards a large response as it arrives.
-func (req *request) relayUnbuffered(choice place.Choice, call *egress.Call, resp *http.Response, info ResponseInfo) attemptResult {
+func (req *request) relayUnbuffered(choice place.Choice, call exchange, resp *http.Response, info ResponseInfo) attemptResult {
 	h := req.writer.Header()
 	for k, v := range endToEnd(resp.Header) {
 		h[k] = v
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/blame"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/meter"
 	"github.com/greengagewheel/greengagewheel/internal/origin"
 	"github.com/greengagewheel/greengagewheel/internal/place"
@@ -304,6 +305,7 @@
 		ConfigCurrent:  func(time.Time) bool { return h.configCurrent.Load() },
 		Chooser:        h.chooser,
 		Origins:        h.origins,
+		Dialer:         egress.NewDialer(),
 		RetryAllowance: func() retry.Allowance { return retry.Allowance{Ratio: 1, Slack: 100, Window: time.Second} },
 		Now:            time.Now,
 		Meter:          testMeter, Log: zap.NewNop(),
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -108,29 +109,32 @@
 	return req.buildOf(choice) == req.build && !startedAgain
 }
 
-// checkStart returns an error if the process at the other end of a connection is not the chosen start of an engine, for a request that
-// is bound to a software version. A process that has just started under the ID and address of an earlier one accepts the request but
-// may have another version, and its announcement may come late.
-func (req *request) checkStart(conn *egress.Conn, choice place.Choice) error {
-	if req.build == "" || req.service.Engine == nil {
-		return nil
-	}
+// mustProveStart reports whether the request may go only to the chosen start of an engine, as it is bound to a software version. A
+// process that has just started under the ID and address of an earlier one accepts the request but may have another version, and its
+// announcement may come late.
+func (req *request) mustProveStart() bool {
+	return req.build != "" && req.service.Engine != nil
+}
+
+// proveStart returns an error if the process at the other end of a connection tells another start time than the given one.
+func (p *Proxy) proveStart(ctx context.Context, conn *egress.Conn, startedAtMS int64) error {
+	peer := conn.RemoteAddr().String()
 	if conn.ProvenStart() == 0 {
-		body, err := req.proxy.pools.Query(req.httpReq.Context(), conn, req.proxy.opt.Dialect.StartTarget(), startQueryTimeout)
+		body, err := p.pools.Query(ctx, conn, p.opt.Dialect.StartTarget(), startQueryTimeout)
 		if err != nil {
 			return err
 		}
-		startedAtMS, told, err := req.proxy.opt.Dialect.DecodeStart(body)
+		start, told, err := p.opt.Dialect.DecodeStart(body)
 		if err != nil {
-			return fault.Wrap("decode start", choice.Addr.String(), err)
+			return fault.Wrap("decode start", peer, err)
 		}
 		if !told {
 			return nil
 		}
-		conn.SetProvenStart(startedAtMS)
+		conn.SetProvenStart(start)
 	}
-	if conn.ProvenStart() != choice.StartedAtMS {
-		return fault.Errorf("check start", choice.Addr.String(), "the process started at %d, not at %d", conn.ProvenStart(), choice.StartedAtMS)
+	if conn.ProvenStart() != startedAtMS {
+		return fault.Errorf("check start", peer, "the process started at %d, not at %d", conn.ProvenStart(), startedAtMS)
 	}
 	return nil
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/blame"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/detour"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/meter"
 	"github.com/greengagewheel/greengagewheel/internal/notice"
@@ -80,6 +82,8 @@
 
 	// Options holds the dependencies of a proxy.
 	Options struct {
+		// Name is the name of this instance, Zone its availability zone.
+		Name    string
 		Zone    string
 		Dialect Dialect
 		View    func() *ctrl.View
@@ -87,7 +91,10 @@
 		ConfigCurrent func(now time.Time) bool
 		Chooser       Chooser
 		Origins       Origins
-		Crashes       CrashReporter
+		Dialer        egress.Dialer
+		// Sender sends requests by way of other instances; if nil, none are.
+		Sender  detour.Sender
+		Crashes CrashReporter
 		// RetryAllowance returns the part of a service's requests that this instance may retry.
 		RetryAllowance func() retry.Allowance
 		Now            func() time.Time
@@ -103,13 +110,17 @@
 		notices      *notice.Board
 		parts        *partWatch
 		links        *linkWatch
+		detours      *detours
 		// limitTexts holds the limit that each endpoint named last, as it sent it, by notice.Start.
 		limitTexts sync.Map
 		// crashesSeen is the number of crashes reported, heldRequests that of requests refused for a part of their prompt.
 		crashesSeen  atomic.Int64
 		heldRequests atomic.Int64
 		// originsUnknown is the number of requests refused as it is not known where their stream began.
-		originsUnknown     atomic.Int64
+		originsUnknown atomic.Int64
+		// detoursMade is the number of requests sent by way of other instances, detoursRunning that of requests of others in progress.
+		detoursMade        atomic.Int64
+		detoursRunning     atomic.Int64
 		attemptCounter     atomic.Uint64
 		requestsInProgress atomic.Int64
 		draining           atomic.Bool
@@ -138,6 +149,9 @@
 		// attempts counts all attempts, sentCount those for which something was sent.
 		attempts  int
 		sentCount int
+		// via is the other instance by way of which the current attempt is sent, or invalid. answered is set once its response has begun.
+		via      netip.AddrPort
+		answered bool
 		// excluded lists the IDs of the endpoints that failed this request.
 		excluded []string
 		// build is the software version that the stream is bound to, or empty; from is the endpoint that its first event came from.
@@ -183,8 +197,8 @@
 // New returns a proxy without connections to endpoints.
 func New(opt Options) *Proxy {
 	return &Proxy{
-		opt: opt, pools: egress.New(), retryWindows: newRetryWindows(), notices: notice.New(), parts: newPartWatch(opt.Log),
-		links: newLinkWatch(opt.Log),
+		opt: opt, pools: egress.New(opt.Dialer), retryWindows: newRetryWindows(), notices: notice.New(), parts: newPartWatch(opt.Log),
+		links: newLinkWatch(opt.Log), detours: newDetours(),
 		startedAt: opt.Now(),
 	}
 }
@@ -228,6 +242,11 @@
 	return p.links.reached(p.opt.Now())
 }
 
+// DetoursMade returns how many requests this instance has sent by way of other instances.
+func (p *Proxy) DetoursMade() int64 {
+	return p.detoursMade.Load()
+}
+
 // OriginsUnknown returns how many requests this instance has refused as it was not known where their stream began.
 func (p *Proxy) OriginsUnknown() int64 {
 	return p.originsUnknown.Load()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -51,7 +51,7 @@
 }
 
 // relayStream forwards an event stream and resumes it on another endpoint where the route allows this.
-func (req *request) relayStream(choice place.Choice, call *egress.Call, resp *http.Response, info ResponseInfo,
+func (req *request) relayStream(choice place.Choice, call exchange, resp *http.Response, info ResponseInfo,
 	start time.Time) attemptResult {
 	s := &streamRelay{req: req, controller: http.NewResponseController(req.writer), header: endToEnd(resp.Header), lastID: -1}
 	for {
@@ -109,7 +109,7 @@
 }
 
 // resume has another endpoint continue the stream, which comes from an endpoint of the software version from, after the event lastID.
-func (req *request) resume(lastID int64, from string) (choice place.Choice, call *egress.Call, resp *http.Response, info ResponseInfo, ok bool) {
+func (req *request) resume(lastID int64, from string) (choice place.Choice, call exchange, resp *http.Response, info ResponseInfo, ok bool) {
 	after := ""
 	if lastID >= 0 {
 		after = strconv.FormatInt(lastID, 10)
@@ -172,7 +172,7 @@
 
 // relay forwards complete events until the stream ends. It waits up to timeout for the first event and then calls
 // onFirst. A nil error means that the stream is complete.
-func (s *streamRelay) relay(call *egress.Call, resp *http.Response, timeout time.Duration, onFirst func()) error {
+func (s *streamRelay) relay(call exchange, resp *http.Response, timeout time.Duration, onFirst func()) error {
 	s.buffered, s.anyEvent, s.req.firstEventAt = s.buffered[:0], false, time.Time{}
 	buf := make([]byte, streamBufferBytes)
 	firstSeen := false
@@ -183,7 +183,9 @@
 		n, err := resp.Body.Read(buf)
 		timeout = s.req.gapTimeout()
 		if n > 0 {
-			s.req.proxy.links.heard(s.req.proxy.opt.Now())
+			if !s.req.relayed() {
+				s.req.proxy.links.answered(s.req.proxy.opt.Now(), false)
+			}
 			s.buffered = append(s.buffered, buf[:n]...)
 			if !firstSeen {
 				firstSeen = true
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -88,3 +88,8 @@
 		DecodeResponse(status int, h http.Header) ResponseInfo
 	}
 )
+
+// belongsTo reports whether a response is one to the request with the given ID. A refusal may lack the ID.
+func (info *ResponseInfo) belongsTo(requestID string) bool {
+	return info.ID == requestID || info.ID == "" && (info.NotRun || info.Misdirected)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,8 @@
 	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
+	"github.com/greengagewheel/greengagewheel/internal/detour"
+	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/entry"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
 	"github.com/greengagewheel/greengagewheel/internal/group"
@@ -245,7 +247,7 @@
 	})
 	r.crashes = newCrashReporter(r.quorum, r.log)
 	r.proxy = proxy.New(proxy.Options{
-		Zone: r.self.Zone, Dialect: wire.Dialect(), View: r.distributor.View,
+		Name: r.self.Name, Zone: r.self.Zone, Dialect: wire.Dialect(), Dialer: egress.NewDialer(), Sender: r.links, View: r.distributor.View,
 		ConfigCurrent: r.distributor.ConfigCurrent, Chooser: r.picker, Origins: r.origins, Crashes: r.crashes, RetryAllowance: r.currentRetryAllowance,
 		Now: clock.Now, Meter: r.meter, Log: r.log,
 	})
@@ -285,6 +287,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/twirp/", peer.NewHandler(c.Keys.Secret, handlers))
+	if r.proxy != nil {
+		mux.Handle(detour.Path, peer.RequireSecret(c.Keys.Secret, http.HandlerFunc(r.proxy.ServeDetour)))
+	}
 	return mux
 }
 
@@ -365,6 +370,7 @@
 		r.wg.Go(func() { r.picker.Run(r.ctx) })
 		r.wg.Go(func() { r.origins.Run(r.ctx) })
 		r.wg.Go(func() { r.prune(r.ctx) })
+		r.wg.Go(func() { r.proxy.Probe(r.ctx) })
 		r.wg.Go(func() { r.crashes.run(r.ctx) })
 		r.wg.Go(func() { r.crashes.runParts(r.ctx) })
 	}
