place, picker, proxy: keep the load of brittle endpoints below their room

What callers see today: under one and a half times the load that brittle endpoints bear, 20 falls of 4 endpoints in 7 s and 15 calls served where there was room for 736; 12 falls and 373 calls where half of them are brittle and the leader is killed (TestBrittleServersFallOver before the change).

Cause: placement takes a full endpoint at a higher cost, as its refusal costs little. Nothing reads that an endpoint falls over when it refuses many.

Change: place.Brittle, told by answers, kept by the leader and the entries like limits; room for all instances together, less after refusals and falls, shares for entries that choose alone; what finds no room is refused here at once.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -70,6 +70,8 @@
 		backoffUntil time.Time
 		// limitSentAt is when the limit of each endpoint was last reported to the leader.
 		limitSentAt map[string]time.Time
+		// brittleSentAt is when the brittleness of each endpoint was last reported to the leader.
+		brittleSentAt map[string]time.Time
 		// loadsAt is the time of the leader's last report of other entry instances' load.
 		loadsAt  time.Time
 		sequence atomic.Uint64
@@ -84,7 +86,8 @@
 
 // New returns a picker without attempts in progress.
 func New(opt Options) *Picker {
-	return &Picker{opt: opt, balancer: place.New(), attempts: map[string]attempt{}, limitSentAt: map[string]time.Time{}}
+	return &Picker{opt: opt, balancer: place.New(), attempts: map[string]attempt{}, limitSentAt: map[string]time.Time{},
+		brittleSentAt: map[string]time.Time{}}
 }
 
 // Pick chooses the endpoint for a request and records the attempt; byLeader is set if the leader chose. It returns ErrNoEndpoint if
@@ -131,10 +134,12 @@
 		p.syncedView = view
 		p.balancer.Sync(view.Endpoints, view.Table)
 		p.balancer.SetInstances(p.opt.Self.Name, len(view.Instances))
-		maps.DeleteFunc(p.limitSentAt, func(id string, _ time.Time) bool {
-			_, known := view.Endpoints[id]
-			return !known
-		})
+		for _, sentAt := range []map[string]time.Time{p.limitSentAt, p.brittleSentAt} {
+			maps.DeleteFunc(sentAt, func(id string, _ time.Time) bool {
+				_, known := view.Endpoints[id]
+				return !known
+			})
+		}
 	}
 	if now.Sub(p.loadsAt) > maxLoadsAge {
 		p.balancer.ClearOtherLoad()
@@ -230,6 +235,11 @@
 				p.events = append(p.events, place.Event{Limit: &limit})
 			}
 		}
+		for _, told := range p.balancer.Brittles(p.opt.Now(), "") {
+			if !told.Lifted {
+				p.events = append(p.events, place.Event{Brittle: &told})
+			}
+		}
 	}
 	events := p.events
 	p.events = nil
@@ -274,14 +284,35 @@
 	defer p.mu.Unlock()
 	now := p.syncBalancer()
 	news := p.balancer.RecordLimit(now, limit)
-	if limit.Lifted && !news || p.opt.Standalone || len(p.events) >= maxEvents {
+	p.reportTold(now, p.limitSentAt, limit.EndpointID, news, limit.Lifted, place.Event{Limit: &limit})
+}
+
+// RecordBrittle records what an endpoint said of its brittleness in an answer, and reports it to the leader like a limit.
+func (p *Picker) RecordBrittle(told place.Brittle) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.syncBalancer()
+	news := p.balancer.RecordBrittle(now, told)
+	p.reportTold(now, p.brittleSentAt, told.EndpointID, news, told.Lifted, place.Event{Brittle: &told})
+}
+
+// reportTold reports to the leader what an endpoint said of itself: news at once, what is in force at intervals. The caller holds p.mu.
+func (p *Picker) reportTold(now time.Time, sentAt map[string]time.Time, endpointID string, news, lifted bool, e place.Event) {
+	if lifted && !news || p.opt.Standalone || len(p.events) >= maxEvents {
 		return
 	}
-	if !news && now.Sub(p.limitSentAt[limit.EndpointID]) < limitInterval {
+	if !news && now.Sub(sentAt[endpointID]) < limitInterval {
 		return
 	}
-	p.limitSentAt[limit.EndpointID] = now
-	p.events = append(p.events, place.Event{Limit: &limit})
+	sentAt[endpointID] = now
+	p.events = append(p.events, e)
+}
+
+// BrittleEndpoints returns the number of endpoints that are known to be brittle.
+func (p *Picker) BrittleEndpoints() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.BrittleEndpoints()
 }
 
 // LimitedEndpoints returns the number of endpoints that are known to name a limit.
--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -98,6 +98,8 @@
 		slowFactorAt time.Time
 		// limit is the limit that the endpoint names, or nil.
 		limit *rateLimit
+		// brittle is set if the endpoint says that it falls over when it turns away many requests.
+		brittle *brittleness
 		// otherLoad is the load from other entry instances, as the leader reported it.
 		otherLoad EndpointLoad
 	}
@@ -109,6 +111,8 @@
 		byAttempt             map[string]*endpoint
 		latencies             map[string]*latencyModel  // by service
 		demands               map[string]*prefillDemand // by service
+		falls                 map[string]fallRecord     // by service
+		serviceTimes          map[string]time.Duration  // by service
 		reservedPerBusyEngine float64
 		// name and instances are set by SetInstances.
 		name      string
@@ -120,7 +124,8 @@
 func New() *Balancer {
 	return &Balancer{
 		endpoints: map[string]*endpoint{}, byService: map[string][]*endpoint{}, byAttempt: map[string]*endpoint{},
-		latencies: map[string]*latencyModel{}, demands: map[string]*prefillDemand{}, reservedPerBusyEngine: defaultReservedPerBusyEngine,
+		latencies: map[string]*latencyModel{}, demands: map[string]*prefillDemand{}, falls: map[string]fallRecord{},
+		serviceTimes: map[string]time.Duration{}, reservedPerBusyEngine: defaultReservedPerBusyEngine,
 		instances: 1,
 	}
 }
@@ -134,11 +139,13 @@
 		}
 	}
 	b.byService = map[string][]*endpoint{}
+	var added []*endpoint
 	for id, info := range eps {
 		ep := b.endpoints[id]
 		if ep == nil {
 			ep = &endpoint{attempts: map[string]*attempt{}, slowFactor: 1, idHash: xxhash.Sum64String(id)}
 			b.endpoints[id] = ep
+			added = append(added, ep)
 		}
 		ep.info, ep.slots, ep.isEngine, ep.latency = info, info.Slots, false, b.latencyOf(info.Service)
 		if svc := t.Service(info.Service); svc != nil && svc.Engine != nil {
@@ -156,6 +163,9 @@
 	for _, group := range b.byService {
 		sort.Slice(group, func(i, j int) bool { return group[i].info.ID < group[j].info.ID })
 	}
+	for _, ep := range added {
+		b.inheritBrittleness(ep)
+	}
 	return engines
 }
 
@@ -202,7 +212,7 @@
 // countUsable returns the number of endpoints that can take a request.
 func (b *Balancer) countUsable(now time.Time, req *Request) (n int) {
 	for _, ep := range b.byService[req.Service] {
-		if ep.accepts(req) && b.limitWait(now, ep) == 0 {
+		if ep.accepts(req) && b.waitOf(now, ep) == 0 {
 			n++
 		}
 	}
@@ -221,7 +231,7 @@
 	var bestCost time.Duration
 	reserved := b.demandOf(req.Service).reservedEngines(len(b.byService[req.Service]), b.reservedPerBusyEngine)
 	for i, ep := range b.byService[req.Service] {
-		if !ep.accepts(req) || b.limitWait(now, ep) > 0 {
+		if !ep.accepts(req) || b.waitOf(now, ep) > 0 {
 			continue
 		}
 		cost := b.cost(now, ep, req, loc, i < reserved)
@@ -253,6 +263,9 @@
 	if ep.limit != nil {
 		ep.limit.limiter.take(now)
 	}
+	if ep.brittle != nil && ep.brittle.limiter.period > 0 {
+		ep.brittle.limiter.take(now)
+	}
 	ep.pendingPrefillTokens += prefill
 	b.byAttempt[req.AttemptID] = ep
 	if ep.promptCache != nil {
@@ -348,13 +361,17 @@
 	return 1 + (ep.slowFactor-1)*math.Exp2(-now.Sub(ep.slowFactorAt).Seconds()/slowFactorHalfLife.Seconds())
 }
 
-// Apply applies an event: the limit of an endpoint, or of an attempt its start at an endpoint chosen elsewhere, its first answer or
+// Apply applies an event: the limit or the brittleness of an endpoint, or of an attempt its start at an endpoint chosen elsewhere, its first answer or
 // its end.
 func (b *Balancer) Apply(now time.Time, e Event) {
 	if e.Limit != nil {
 		b.RecordLimit(now, *e.Limit)
 		return
 	}
+	if e.Brittle != nil {
+		b.RecordBrittle(now, *e.Brittle)
+		return
+	}
 	if e.Start != nil {
 		b.Cancel(e.AttemptID)
 		if ep := b.endpoints[e.EndpointID]; ep != nil {
@@ -415,8 +432,11 @@
 // endAttempt removes an attempt and adds its outcome to the endpoint's failure count. Outcomes that make it more likely that
 // the endpoint is down weigh more.
 func (b *Balancer) endAttempt(now time.Time, ep *endpoint, a *attempt, outcome Outcome) {
+	b.recordBrittleEnd(now, ep, a, outcome)
 	b.Cancel(a.req.AttemptID)
 	switch outcome {
+	case Completed:
+		b.recordServiceTime(ep.info.Service, now.Sub(a.startedAt))
 	case ConnectFailed, WrongEndpoint:
 		ep.addFailures(now, 4)
 	case ConnectionLost, TimedOut:
--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -49,7 +49,7 @@
 		SentAgo time.Duration `json:"a,omitempty"`
 	}
 
-	// LimitedError means that all endpoints which could take a request have reached their limits. Wait is the time until one of them
+	// LimitedError means that all endpoints which could take a request have reached their limits, or are brittle and have no room. Wait is the time until one of them
 	// takes another request.
 	LimitedError struct {
 		Wait time.Duration
@@ -155,14 +155,15 @@
 	return ep.limit.limiter.wait(now)
 }
 
-// LimitedFor returns the time until an endpoint takes a request that none takes now for its limit, or 0 if limits are not the reason.
+// LimitedFor returns the time until an endpoint takes a request that none takes now for its limit or its brittleness, or 0 if these
+// are not the reason.
 func (b *Balancer) LimitedFor(now time.Time, req *Request) time.Duration {
 	var least time.Duration
 	for _, ep := range b.byService[req.Service] {
 		if !ep.accepts(req) {
 			continue
 		}
-		wait := b.limitWait(now, ep)
+		wait := b.waitOf(now, ep)
 		if wait == 0 {
 			return 0
 		}
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -10,7 +10,7 @@
 
 // LoadExcept returns the load of a service's endpoints without the attempts of one entry instance, which knows its own.
 func (b *Balancer) LoadExcept(now time.Time, service, entry string) ServiceLoad {
-	loads := ServiceLoad{Service: service, Limits: b.Limits(now, service)}
+	loads := ServiceLoad{Service: service, Limits: b.Limits(now, service), Brittles: b.Brittles(now, service)}
 	for _, ep := range b.byService[service] {
 		load := EndpointLoad{ID: ep.info.ID, FailureTenths: int(math.Round(ep.recentFailures(now) * failureUnit))}
 		for _, a := range ep.attempts {
@@ -32,6 +32,7 @@
 // SetOtherLoad sets the load from other entry instances and the limits of endpoints, as reported by the leader.
 func (b *Balancer) SetOtherLoad(now time.Time, loads ServiceLoad) {
 	b.setLimits(now, loads.Service, loads.Limits)
+	b.setBrittles(now, loads.Service, loads.Brittles)
 	for _, ep := range b.byService[loads.Service] {
 		ep.otherLoad = EndpointLoad{}
 	}
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -89,11 +89,13 @@
 		LoadAge time.Duration `json:"age,omitempty"`
 	}
 
-	// Event reports progress of an attempt, or the limit of an endpoint.
+	// Event reports progress of an attempt, or the limit or brittleness of an endpoint.
 	Event struct {
 		AttemptID string `json:"run,omitempty"`
 		// Limit reports what an endpoint said of its limit; no other field is set then.
 		Limit *Limit `json:"limit,omitempty"`
+		// Brittle reports what an endpoint said of its brittleness; no other field is set then.
+		Brittle *Brittle `json:"brittle,omitempty"`
 		// Start and EndpointID report an attempt for which the entry instance chose the endpoint.
 		Start      *Request `json:"start,omitempty"`
 		EndpointID string   `json:"at,omitempty"`
@@ -109,6 +111,8 @@
 		Endpoints []EndpointLoad `json:"e"`
 		// Limits holds the limits that endpoints name.
 		Limits []Limit `json:"l,omitempty"`
+		// Brittles holds the brittle endpoints.
+		Brittles []Brittle `json:"f,omitempty"`
 	}
 
 	// EndpointLoad is the load of an endpoint as seen by the leader.
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -134,6 +135,7 @@
 			zap.Duration("pause", info.Pause))
 	}
 	req.recordLimit(ep, info)
+	req.recordBrittle(ep, info)
 	if info.Leaving && req.proxy.notices.MarkLeaving(now, ep) {
 		req.log.Info("endpoint says that it leaves", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
 			zap.Int64("born", choice.StartedAtMS))
@@ -155,14 +157,41 @@
 	req.proxy.opt.Chooser.RecordLimit(limit)
 }
 
+// recordBrittle records the brittleness that an endpoint names, or that it names none in the answer to this request.
+func (req *request) recordBrittle(ep notice.Start, info ResponseInfo) {
+	text := ""
+	if info.Brittle.Named {
+		text = info.Brittle.Text
+	}
+	if changedText(&req.proxy.brittleTexts, ep, text) {
+		req.log.Info("endpoint says how brittle it is", zap.String("run", req.attemptID), zap.String("endpoint", ep.ID),
+			zap.Int64("born", ep.StartedAtMS), zap.Bool("named", info.Brittle.Named), zap.Bool("malformed", info.Brittle.Malformed),
+			zap.Int("refusals", info.Brittle.Refusals), zap.String("text", text))
+	}
+	told := place.Brittle{
+		EndpointID: ep.ID, StartedAtMS: ep.StartedAtMS, Refusals: info.Brittle.Refusals, Lifted: !info.Brittle.Named,
+		SentAgo: req.proxy.opt.Now().Sub(req.sentAt),
+	}
+	answersThis := info.ID == req.caller.ID && (info.Signed || info.NotRun)
+	if told.Lifted && !answersThis {
+		return
+	}
+	req.proxy.opt.Chooser.RecordBrittle(told)
+}
+
+// changedText stores what an endpoint said and reports whether it said something else, or nothing, before.
+func changedText(texts *sync.Map, ep notice.Start, text string) bool {
+	known, seen := texts.Swap(ep, text)
+	return known != text && (seen || text != "")
+}
+
 // logLimit logs the limit that an endpoint names, when it changes.
 func (req *request) logLimit(ep notice.Start, limit RateLimit) {
 	text := ""
 	if limit.Named {
 		text = limit.Text
 	}
-	known, seen := req.proxy.limitTexts.Swap(ep, text)
-	if known == text || !seen && text == "" {
+	if !changedText(&req.proxy.limitTexts, ep, text) {
 		return
 	}
 	req.log.Info("endpoint names a limit", zap.String("run", req.attemptID), zap.String("endpoint", ep.ID),
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -180,6 +180,7 @@
 	mu           sync.Mutex
 	outcomes     []place.Outcome
 	limits       []place.Limit
+	brittles     []place.Brittle
 	// limitedFor is the time for which limits are the reason that no endpoint is found.
 	limitedFor time.Duration
 }
@@ -213,6 +214,12 @@
 	c.limits = append(c.limits, limit)
 }
 
+func (c *roundRobin) RecordBrittle(told place.Brittle) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.brittles = append(c.brittles, told)
+}
+
 func (c *roundRobin) RecordOutcome(_ string, outcome place.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -60,6 +60,8 @@
 		RecordOutcome(attemptID string, outcome place.Outcome)
 		// RecordLimit tells it what an endpoint said of its limit in an answer.
 		RecordLimit(limit place.Limit)
+		// RecordBrittle tells it what an endpoint said of its brittleness in an answer.
+		RecordBrittle(told place.Brittle)
 	}
 
 	// CrashReporter shares between all instances the fingerprints of requests, and the parts of prompts, that crashed endpoints.
@@ -111,8 +113,9 @@
 		parts        *partWatch
 		links        *linkWatch
 		detours      *detours
-		// limitTexts holds the limit that each endpoint named last, as it sent it, by notice.Start.
-		limitTexts sync.Map
+		// limitTexts and brittleTexts hold the limit and the brittleness that each endpoint named last, as it sent them, by notice.Start.
+		limitTexts   sync.Map
+		brittleTexts sync.Map
 		// crashesSeen is the number of crashes reported, heldRequests that of requests refused for a part of their prompt.
 		crashesSeen  atomic.Int64
 		heldRequests atomic.Int64
@@ -223,12 +226,14 @@
 	})
 	p.notices.Prune(now, endpoints)
 	p.parts.prune(now, p.opt.View())
-	p.limitTexts.Range(func(key, _ any) bool {
-		if ep, ok := key.(notice.Start); ok && endpoints[ep.ID].StartedAtMS != ep.StartedAtMS {
-			p.limitTexts.Delete(key)
-		}
-		return true
-	})
+	for _, texts := range []*sync.Map{&p.limitTexts, &p.brittleTexts} {
+		texts.Range(func(key, _ any) bool {
+			if ep, ok := key.(notice.Start); ok && endpoints[ep.ID].StartedAtMS != ep.StartedAtMS {
+				texts.Delete(key)
+			}
+			return true
+		})
+	}
 }
 
 // CrashCounts returns how many crashes this instance has reported, how many requests it has refused for a part of their prompt,
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -61,6 +61,8 @@
 		Pause time.Duration
 		// Limit is the rate of requests that the endpoint takes.
 		Limit RateLimit
+		// Brittle tells how many requests the endpoint bears to turn away.
+		Brittle Brittleness
 		// IdleTimeout is how long the endpoint keeps an idle connection, or 0 if unknown.
 		IdleTimeout time.Duration
 	}
@@ -74,6 +76,15 @@
 		Text      string
 	}
 
+	// Brittleness is the number of requests that an endpoint can turn away in a second without falling over. Named is unset if it names
+	// none, Malformed set if the number is not known. Text is what the endpoint sent.
+	Brittleness struct {
+		Named     bool
+		Malformed bool
+		Refusals  int
+		Text      string
+	}
+
 	// Dialect translates between the headers of a protocol and their meaning.
 	Dialect interface {
 		// DecodeRequest decodes the header of a request. An error means that the request is invalid.
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -118,6 +118,7 @@
 			r.meter.SetGauge("endpoint_crashes_seen", float64(crashes))
 			r.meter.SetGauge("prompt_parts_held", float64(heldParts))
 			r.meter.SetGauge("endpoints_limited", float64(r.picker.LimitedEndpoints()))
+			r.meter.SetGauge("endpoints_brittle", float64(r.picker.BrittleEndpoints()))
 			r.meter.SetGauge("requests_refused_for_parts", float64(refused))
 			r.meter.SetGauge("streams_of_unknown_origin", float64(r.proxy.OriginsUnknown()))
 			r.meter.SetGauge("requests_sent_by_others", float64(r.proxy.DetoursMade()))
