proxy, egress, detour: give up a silent endpoint only once a retry is taken

What callers see: a sound endpoint is silent for 1.5 s; where the retries of the service are spent, its resumable streams are broken off and its calls fail, though they would have gone on, and nothing else is tried for them.

Cause: the wait is cut short as another endpoint may be tried; whether it may be is asked only after the connection has been given up.

Change: when the timeout passes, a retry is reserved, or else the wait goes on until the deadline.

Check: TestSilentEndpointLosesItsRequests failed before (streams broken, with no retry left and with one for six streams), passes; go test ./internal/{proxy, detour} pass.

--- a/internal/detour/call.go
+++ b/internal/detour/call.go
@@ -36,6 +36,8 @@
 		cancel   context.CancelFunc
 		timer    *time.Timer
 		timedOut atomic.Bool
+		// onTimeout returns how much longer to wait when the timeout has passed, or 0.
+		onTimeout atomic.Pointer[func() time.Duration]
 		body     io.ReadCloser
 	}
 
@@ -109,8 +111,19 @@
 	return call, call.SetReadTimeout(order.Left)
 }
 
-// timeOut makes reads fail.
+// OnTimeout has fn called when the timeout passes. It returns how much longer to wait, or 0 to fail.
+func (c *Call) OnTimeout(fn func() time.Duration) {
+	c.onTimeout.Store(&fn)
+}
+
+// timeOut makes reads fail, unless there is more time.
 func (c *Call) timeOut() {
+	if fn := c.onTimeout.Load(); fn != nil {
+		if more := (*fn)(); more > 0 {
+			c.timer.Reset(more)
+			return
+		}
+	}
 	c.timedOut.Store(true)
 	c.cancel()
 }
--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -72,6 +72,7 @@
 // must be ended with Release or Abort, even on error. The error is ErrUnsent if nothing was written.
 func (p *Pools) Start(ctx context.Context, conn *Conn, req *Request, timeout time.Duration) (*Call, error) {
 	call := &Call{conn: conn, pools: p, req: req, writeDone: make(chan error, 1)}
+	conn.source.onTimeout = nil
 	call.stopCancel = context.AfterFunc(ctx, func() { _ = conn.TCPConn.Close() })
 	if err := conn.setDeadline(time.Now().Add(timeout)); err != nil {
 		return call, errors.Join(ErrUnsent, fault.Wrap("set deadline", conn.dest.Addr.String(), err))
@@ -168,6 +169,11 @@
 	return call.conn.source.setDeadline(time.Now().Add(timeout))
 }
 
+// OnTimeout has fn called when the timeout passes while nothing is received. It returns how much longer to wait, or 0 to fail.
+func (call *Call) OnTimeout(fn func() time.Duration) {
+	call.conn.source.onTimeout = fn
+}
+
 // Reused reports whether the call uses a connection that served earlier requests.
 func (call *Call) Reused() bool {
 	return call.conn.reused
--- a/internal/egress/head.go
+++ b/internal/egress/head.go
@@ -38,6 +38,8 @@
 	lines     int
 	size      int
 	startedAt time.Time
+	// onTimeout, if set, returns how much longer to wait when the deadline has passed while nothing is received, or 0.
+	onTimeout func() time.Duration
 	// lineStart is set if the next byte begins a line.
 	lineStart bool
 }
@@ -65,7 +67,11 @@
 // Read reads from the body, or at most one line of a head.
 func (r *responseReader) Read(p []byte) (int, error) {
 	if !r.inHead {
-		return r.raw.Read(p)
+		n, err := r.raw.Read(p)
+		for n == 0 && r.waitsOn(err) {
+			n, err = r.raw.Read(p)
+		}
+		return n, err
 	}
 	if err := r.awaitHead(); err != nil {
 		return 0, err
@@ -88,6 +94,9 @@
 // awaitHead waits for more of a head, which must be complete headTimeout after its first byte.
 func (r *responseReader) awaitHead() error {
 	_, err := r.raw.Peek(1)
+	for r.startedAt.IsZero() && r.waitsOn(err) {
+		_, err = r.raw.Peek(1)
+	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded) && !r.startedAt.IsZero() && time.Since(r.startedAt) >= headTimeout:
 		return ErrHeadTooSlow
@@ -103,6 +112,15 @@
 	return nil
 }
 
+// waitsOn reports whether to read on after an error, which is so after a timeout if onTimeout says so.
+func (r *responseReader) waitsOn(err error) bool {
+	if r.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	more := r.onTimeout()
+	return more > 0 && r.setDeadline(time.Now().Add(more)) == nil
+}
+
 // count counts a piece of a head, which ends with its first blank line.
 func (r *responseReader) count(piece []byte) error {
 	r.size += len(piece)
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -41,6 +41,8 @@
 		ReadResponse(belongs func(*http.Response) bool) (*http.Response, error)
 		SkipBody(resp *http.Response) error
 		SetReadTimeout(timeout time.Duration) error
+		// OnTimeout has fn called when the timeout passes while nothing is received. It returns how much longer to wait, or 0 to fail.
+		OnTimeout(fn func() time.Duration)
 		// Reused reports whether a connection of this instance is used that served earlier requests.
 		Reused() bool
 		// Release ends an exchange whose response was read completely, Abort any other one.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -131,7 +131,7 @@
 
 // takeRetry takes one retry from the service's retry window. While no attempt has sent anything, it costs nothing.
 func (req *request) takeRetry(now time.Time) bool {
-	if req.sentCount == 0 {
+	if req.sentCount == 0 || req.retryReserved.Swap(false) {
 		return true
 	}
 	if req.retryWindow.AllowRetry(now, req.proxy.opt.RetryAllowance()) {
@@ -141,6 +141,17 @@
 	return false
 }
 
+// waitOn returns how much longer to wait for an endpoint that has not answered in time, or 0 if a retry is reserved for the request.
+// Without a retry, nothing is won by giving up: the endpoint may only be silent for a while.
+func (req *request) waitOn() time.Duration {
+	now := req.proxy.opt.Now()
+	if req.mayRetry() && req.takeRetry(now) {
+		req.retryReserved.Store(true)
+		return 0
+	}
+	return max(0, req.deadline.Sub(now))
+}
+
 // callerGone reports whether the caller has disconnected.
 func (req *request) callerGone() bool {
 	return req.httpReq.Context().Err() != nil
@@ -239,6 +250,7 @@
 	}
 	req.sentCount++
 	if err == nil {
+		call.OnTimeout(req.waitOn)
 		err = call.SetReadTimeout(req.firstResponseTimeout(start, &choice))
 	}
 	if err != nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -155,6 +155,8 @@
 		// via is the other instance by way of which the current attempt is sent, or invalid. answered is set once its response has begun.
 		via      netip.AddrPort
 		answered bool
+		// retryReserved is set if a retry was taken from the retry window that is not used yet.
+		retryReserved atomic.Bool
 		// excluded lists the IDs of the endpoints that failed this request.
 		excluded []string
 		// build is the software version that the stream is bound to, or empty; from is the endpoint that its first event came from.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -133,6 +133,7 @@
 			resp, info, err = req.readResponseHead(choice, call)
 		}
 		if err == nil && info.Signed && resp.StatusCode == http.StatusOK {
+			call.OnTimeout(req.waitOn)
 			req.log.Info("stream resumed", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
 				zap.Int64("after", lastID), zap.String("build", req.buildOf(choice)), zap.String("from", from))
 			return choice, call, resp, info, true
