egress: outlive a silence of two seconds of an endpoint

What callers would see: streams broken off, though their endpoint is only silent for a second or so.

Cause: a TCP_USER_TIMEOUT of 2 s also decides when keep-alive probes give up, whatever their count. It counts from the last segment received, up to the idle time of 1 s before the silence, so that 1 s of silence could be enough.

Whether the users' network gives up like this was not seen.

--- a/internal/detour/call.go
+++ b/internal/detour/call.go
@@ -38,7 +38,7 @@
 		timedOut atomic.Bool
 		// onTimeout returns how much longer to wait when the timeout has passed, or 0.
 		onTimeout atomic.Pointer[func() time.Duration]
-		body     io.ReadCloser
+		body      io.ReadCloser
 	}
 
 	// UnsentError tells why a request was not sent; it is an ErrUnsent.
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -18,8 +18,9 @@
 	dialTimeout = 300 * time.Millisecond
 	// secondDialDelay is the delay before a second connection attempt, as the SYN of the first may be lost.
 	secondDialDelay = 80 * time.Millisecond
-	// userTimeout is how long sent data may stay unacknowledged.
-	userTimeout = 2 * time.Second
+	// userTimeout is how long sent data or keep-alive probes may stay unacknowledged. The kernel counts it from the last segment
+	// received, which is up to probeIdle before a silence; a sound endpoint may be silent for some two seconds.
+	userTimeout = 4 * time.Second
 	// Keep-alive probes detect connections that a middlebox has dropped.
 	probeIdle     = time.Second
 	probeInterval = 500 * time.Millisecond
