--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -98,7 +98,10 @@
 }
 
 func newDialer(localAddr netip.Addr, timeout time.Duration) *net.Dialer {
-	dialer := &net.Dialer{Timeout: timeout, KeepAlive: keepAliveInterval}
+	dialer := &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval},
+	}
 	if localAddr.IsValid() && !localAddr.IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(localAddr, 0))
 	}
--- a/internal/conns/options_test.go
+++ b/internal/conns/options_test.go
@@ -43,7 +43,7 @@
 			So(err, ShouldBeNil)
 			So(opt.KeepAlive, ShouldBeTrue)
 			So(opt.UserTimeout, ShouldEqual, 0)
-			So(opt.GivenUpAfter(), ShouldEqual, 140*time.Second)
+			So(opt.GivenUpAfter(), ShouldEqual, 50*time.Second)
 			_ = c.Close()
 		}
 	})
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -45,7 +45,7 @@
 	if !ok {
 		return accepted, nil
 	}
-	_ = tcp.SetKeepAlivePeriod(keepAliveInterval)
+	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval})
 	conns.SetUserTimeout(tcp, l.ackTimeout)
 	return callerConn{tcp}, nil
 }
