sched, route, entry: runs behind contracts go on only at the software version that began them

What callers would see: an answer with tokens of engines of two software versions, when the engine that began it goes down.

Change: announcements may tell a build; the first token binds the run to that of its engine, also at an instance that follows the run and takes it over; the scheduler grants only engines of it. Engines that tell none count as one version, so that nothing changes for those that do not know the field.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,6 +28,7 @@
 	Slots    int           `long:"slots" default:"8" description:"requests at a time"`
 	Step     time.Duration `long:"step" default:"10ms" description:"engine: time between tokens of an empty batch"`
 	PerRun   time.Duration `long:"per-run" default:"500us" description:"engine: added to it for each running request"`
+	Build    string        `long:"build" description:"engine: version of its software"`
 	Fences   bool          `long:"fences" description:"engine: refuse orders with an old fencing number"`
 	Lookup   bool          `long:"lookup" description:"service: can be asked by key"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the cache events' gaps"`
@@ -92,6 +93,6 @@
 	return engine.New(engine.Options{
 		Name: opts.Name, Addr: addr, Zone: opts.Zone, Models: opts.Serves, Slots: opts.Slots,
 		StepTime: opts.Step, StepTimePerRun: opts.PerRun,
-		EnforcesFence: opts.Fences, Seed: opts.Seed, OnCrash: func() { os.Exit(1) },
+		EnforcesFence: opts.Fences, Build: opts.Build, Seed: opts.Seed, OnCrash: func() { os.Exit(1) },
 	})
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -51,6 +51,7 @@
 		StepTimePerRun time.Duration
 		PrefillPerStep int    // number of prompt tokens that one step can process
 		EnforcesFence  bool   // refuse orders with an old fencing token
+		Build          string // version of the software
 		Seed           uint64 // determines which cache events are dropped
 		OnCrash        func() // called, if set, after a crash by CrashMarker
 	}
@@ -167,7 +168,7 @@
 	return endpt.Announcement{
 		Name: e.opt.Name, Addr: e.opt.Addr, Boot: e.bootID, Zone: e.opt.Zone, Kind: endpt.Engine,
 		Models: e.opt.Models, Slots: e.opt.Slots, Load: load, Leaving: e.leaving, EnforcesFence: e.opt.EnforcesFence,
-		Events: events,
+		Build: e.opt.Build, Events: events,
 	}
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -20,6 +20,7 @@
 func (e *Entry) streamFrom(ctx context.Context, j *job, decision sched.Decision, grant *broker.Grant) (done bool, p *problem) {
 	j.sentAt, j.endpointFirstTokenTime = time.Now(), 0
 	err := e.relay.Fetch(ctx, decision.Target.Addr, j.stream, j.run.tokensReceived(), func(ev relay.Event) error {
+		j.bind(decision.Target.Build)
 		j.recordToken(time.Now(), ev, grant)
 		j.run.addEvent(ev)
 		return nil
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -32,10 +32,12 @@
 
 // runMessage is one line of a run as served to another instance: an event, or the end of the run. An empty message is a heartbeat.
 type runMessage struct {
-	Event  *relay.Event `json:"event,omitempty"`
-	End    bool         `json:"end,omitempty"`
-	Error  *chat.Error  `json:"fault,omitempty"`
-	Status int          `json:"code,omitempty"`
+	Event *relay.Event `json:"event,omitempty"`
+	// Build is the software version that the run is bound to; it comes with each event.
+	Build  *string     `json:"build,omitempty"`
+	End    bool        `json:"end,omitempty"`
+	Error  *chat.Error `json:"fault,omitempty"`
+	Status int         `json:"code,omitempty"`
 }
 
 // followOrTakeOver follows a run of another instance. If that instance doesn't respond, the next attempt takes the run over.
@@ -85,6 +87,9 @@
 		extendTimeout(followMessageTimeout)
 		switch {
 		case msg.Event != nil:
+			if msg.Build != nil {
+				j.bind(*msg.Build)
+			}
 			j.run.addEvent(*msg.Event)
 		case msg.End && msg.Error != nil:
 			return &problem{status: msg.Status, code: msg.Error.Code, message: msg.Error.Message, ran: msg.Error.Ran,
@@ -129,7 +134,7 @@
 			if events[i].Offset <= offset && events[i].FinishReason == "" {
 				continue
 			}
-			if err := encoder.Encode(runMessage{Event: &events[i]}); err != nil {
+			if err := encoder.Encode(runMessage{Event: &events[i], Build: r.boundBuild()}); err != nil {
 				return err
 			}
 		}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -17,6 +17,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/quorum"
 	"github.com/greengagewheel/greengagewheel/internal/relay"
+	"github.com/greengagewheel/greengagewheel/internal/retry"
 	"github.com/greengagewheel/greengagewheel/internal/sched"
 	"github.com/greengagewheel/greengagewheel/pkg/chat"
 	"github.com/greengagewheel/greengagewheel/pkg/endpt"
@@ -51,6 +52,10 @@
 	sendCount int
 	// excludedBoots are the boot IDs of the endpoints that failed.
 	excludedBoots []string
+	// bound is set once a token was received: the run goes on only at engines of the software version build, which is empty for those
+	// that tell none.
+	bound bool
+	build string
 	// exclusive is set if the request must run alone on its endpoint, because it is suspected of crashing endpoints.
 	exclusive bool
 	// takeOver is set if the next attempt takes the run over from an instance that doesn't respond.
@@ -196,6 +201,12 @@
 		e.returnGrant(ctx, j, grant)
 		return false, nil
 	}
+	if j.bound && decision.Target.Build != j.build {
+		// A scheduler of an older program knows no versions.
+		j.excludedBoots = append(j.excludedBoots, decision.Target.Boot)
+		e.returnGrant(ctx, j, grant)
+		return j.attempt >= retry.MaxAttempts, endpointProblem(errors.New("no engine of the version that began the answer"), j.ran())
+	}
 	if j.attempt == 0 {
 		j.caller.metrics.RecordQueueTime(decision.QueueTime)
 	}
@@ -224,7 +235,7 @@
 	return sched.Request{
 		ID: j.run.id, Entry: e.opt.Self.Boot, EntryAddr: e.opt.Self.Addr, Customer: j.caller.contract.Customer, Class: j.caller.class.Name,
 		Zone: e.opt.Self.Zone, InputTokens: j.inputTokens, MaxOutputTokens: j.maxOutputTokens, PrefixBlocks: j.prefixBlocks,
-		ExcludedBoots: j.excludedBoots, Exclusive: j.exclusive, Attempt: j.attempt, Waited: time.Since(j.caller.arrived),
+		ExcludedBoots: j.excludedBoots, Bound: j.bound, Build: j.build, Exclusive: j.exclusive, Attempt: j.attempt, Waited: time.Since(j.caller.arrived),
 		TakeOver: j.takeOver, IDFromCaller: j.hasRequestID,
 	}
 }
@@ -241,6 +252,15 @@
 	return chat.RanNo
 }
 
+// bind binds the run to a software version, unless it is bound already.
+func (j *job) bind(build string) {
+	if j.bound {
+		return
+	}
+	j.bound, j.build = true, build
+	j.run.setBuild(build)
+}
+
 // recordToken updates the latencies with a token received at now.
 func (j *job) recordToken(now time.Time, ev relay.Event, grant *broker.Grant) {
 	if ev.FinishReason != "" {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -22,6 +22,8 @@
 		failure *problem
 		// changed is closed, and replaced by a new channel, at each change of the run.
 		changed chan struct{}
+		// build is the software version that the run is bound to, or nil.
+		build   *string
 		readers int
 		endedAt time.Time
 	}
@@ -176,3 +178,17 @@
 	defer r.mu.Unlock()
 	return r.events[position:len(r.events):len(r.events)], r.ended, r.failure, r.changed
 }
+
+// setBuild records the software version that the run is bound to.
+func (r *run) setBuild(build string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.build = &build
+}
+
+// boundBuild returns the software version that the run is bound to, or nil.
+func (r *run) boundBuild() *string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.build
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,6 +42,9 @@
 		// ExcludedBoots holds the boot IDs of endpoints that must not be chosen; a boot ID identifies one process start of an
 		// endpoint.
 		ExcludedBoots []string
+		// Bound is set if the request may run only at endpoints of the software version Build, which is empty for those that tell none.
+		Bound bool
+		Build string
 	}
 
 	// Picker chooses endpoints by one policy.
@@ -63,7 +67,7 @@
 	}
 	var free []*Endpoint
 	for _, e := range eps {
-		if e.FreeSlots(now) > 0 && !req.Excludes(e.Info.Boot) {
+		if e.FreeSlots(now) > 0 && !req.Excludes(e) {
 			free = append(free, e)
 		}
 	}
@@ -86,14 +90,9 @@
 	return best
 }
 
-// Excludes reports whether the request must not run on the endpoint with the given boot ID.
-func (r *Request) Excludes(boot string) bool {
-	for _, excluded := range r.ExcludedBoots {
-		if excluded == boot {
-			return true
-		}
-	}
-	return false
+// Excludes reports whether the request must not run on an endpoint.
+func (r *Request) Excludes(e *Endpoint) bool {
+	return r.Bound && e.Info.Build != r.Build || slices.Contains(r.ExcludedBoots, e.Info.Boot)
 }
 
 // pickByLoad returns the endpoint with affinity for the request's prefix if its load is at most maxRelativeLoad times the mean
@@ -109,7 +108,7 @@
 			totalLoad += relativeLoad(e)
 			live++
 		}
-		if e.FreeSlots(now) == 0 || req.Excludes(e.Info.Boot) {
+		if e.FreeSlots(now) == 0 || req.Excludes(e) {
 			continue
 		}
 		if cost := endpointCost(e, req.Zone); best == nil || cost < bestCost {
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -177,7 +177,7 @@
 	taken := 0
 	var least *route.Endpoint
 	for _, e := range s.endpointList {
-		if !e.Live(now) || it.routeRequest.Excludes(e.Info.Boot) {
+		if !e.Live(now) || it.routeRequest.Excludes(e) {
 			continue
 		}
 		if e.Exclusive {
@@ -212,6 +212,7 @@
 		reservedCost: it.reservedCost, estimatedOutput: it.flow.estimatedOutput,
 		target: Target{
 			Name: e.Info.Name, Boot: e.Info.Boot, Addr: e.Info.Addr, Zone: e.Info.Zone, Kind: e.Info.Kind, Lookup: e.Info.Lookup,
+			Build: e.Info.Build,
 		},
 	}
 	it.reservedCost = 0
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -135,7 +135,9 @@
 	}
 	it := &queueItem{
 		req: req, flow: f, arrivedAt: now.Add(-req.Waited), lastSeen: now,
-		routeRequest: route.Request{Zone: req.Zone, Blocks: req.PrefixBlocks, ExcludedBoots: req.ExcludedBoots},
+		routeRequest: route.Request{
+			Zone: req.Zone, Blocks: req.PrefixBlocks, ExcludedBoots: req.ExcludedBoots, Bound: req.Bound, Build: req.Build,
+		},
 	}
 	it.deadline = it.arrivedAt.Add(terms.MaxQueueTime)
 	if s.withoutEndpoint(now) {
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -99,6 +99,9 @@
 		PrefixBlocks []uint64 `json:"blocks,omitempty"`
 		// ExcludedBoots holds the boot IDs of endpoints that must not be chosen.
 		ExcludedBoots []string `json:"avoid,omitempty"`
+		// Bound requires an endpoint of the software version Build, which is empty for those that tell none.
+		Bound bool   `json:"tied,omitempty"`
+		Build string `json:"build,omitempty"`
 		// Exclusive requires an endpoint that runs nothing else.
 		Exclusive bool `json:"solo,omitempty"`
 		// Attempt is 0 for the first attempt at the request and grows with each retry.
@@ -119,6 +122,8 @@
 		Zone   string         `json:"zone"`
 		Kind   endpt.Kind     `json:"kind"`
 		Lookup bool           `json:"lookup,omitempty"`
+		// Build is the version of the endpoint's software.
+		Build string `json:"build,omitempty"`
 	}
 
 	// Decision is the scheduler's decision on a request of the entry Requester. Target is set for a grant, Code and RetryAfter
--- a/pkg/endpt/endpt.go
+++ b/pkg/endpt/endpt.go
@@ -23,6 +23,8 @@
 	StaleAfter = 3 * time.Second
 	// MaxModels is the largest number of models that one endpoint may announce.
 	MaxModels = 64
+	// MaxBuildBytes is the length of the longest software version.
+	MaxBuildBytes = 128
 	// MaxSlots is the largest number of concurrent requests that one endpoint may announce.
 	MaxSlots = 4096
 )
@@ -62,6 +64,8 @@
 		EnforcesFence bool `json:"fences,omitempty"`
 		// Lookup is set if the endpoint can be asked for the outcome of an earlier call.
 		Lookup bool `json:"lookup,omitempty"`
+		// Build is the version of the endpoint's software; a stream goes on only at an endpoint of the version that began it.
+		Build string `json:"build,omitempty"`
 		// Events are the changes of the endpoint's prefix cache.
 		Events []CacheEvent `json:"events,omitempty"`
 	}
@@ -91,6 +95,8 @@
 		return fmt.Errorf("announcement: unknown kind %q", a.Kind)
 	case len(a.Models) == 0 || len(a.Models) > MaxModels:
 		return fmt.Errorf("announcement: models must hold 1 to %d names", MaxModels)
+	case len(a.Build) > MaxBuildBytes:
+		return fmt.Errorf("announcement: build is longer than %d bytes", MaxBuildBytes)
 	case a.Slots < 1 || a.Slots > MaxSlots:
 		return fmt.Errorf("announcement: slots must be 1 to %d", MaxSlots)
 	}
