proxy, origin: a stream goes on at the service that began it

What callers would see: a stream that began at one service of a route goes on at another one, as each request draws its service by the route's shares, or as a new configuration moved the route.

Cause: the origin of a stream told the software version, not whose.

Change: the origin has the service; a request that takes the stream up goes there, or is refused as not run if the route does not lead there any more.

Check: TestStreamTakenUpAtAnotherService failed before (20 of 20 at the other service), passes; go test ./internal/{proxy,origin}.

--- a/internal/origin/store.go
+++ b/internal/origin/store.go
@@ -21,9 +21,10 @@
 	// Key identifies a request of one organisation.
 	Key [keyBytes]byte
 
-	// Origin is the endpoint that a stream comes from: its software version, and the start of it that was chosen.
+	// Origin is the endpoint that a stream comes from: its software version, its service, and the start of it that was chosen.
 	Origin struct {
 		Build       string `json:"b"`
+		Service     string `json:"v"`
 		EndpointID  string `json:"i"`
 		StartedAtMS int64  `json:"s"`
 	}
--- a/internal/proxy/build_test.go
+++ b/internal/proxy/build_test.go
@@ -176,3 +176,37 @@
 		})
 	}
 }
+
+// TestStreamTakenUpAtAnotherService guards against streams that go on at another service of their route than the one that began them.
+func TestStreamTakenUpAtAnotherService(t *testing.T) {
+	play := func(split ...table.TrafficShare) (statuses map[int]int, services map[string]int) {
+		h := newBuildHarness(t, "v1", streamUpTo(20, 0))
+		tbl := testTable()
+		tbl.Services = append(tbl.Services, table.Service{Name: "t"})
+		tbl.Routes[3].TrafficSplit = split
+		h.view.Table = table.New(tbl)
+		h.origins.Record(origin.Record{
+			Key: origin.KeyOf("org", "first"), Origin: origin.Origin{Build: "v1", Service: "s", EndpointID: "gone"}, Left: time.Minute,
+		})
+		statuses, services = map[int]int{}, map[string]int{}
+		for range 20 {
+			statuses[h.send(http.MethodPost, "/resume/", "x", "Resumes", "first", "After", "7").status]++
+		}
+		h.chooser.mu.Lock()
+		defer h.chooser.mu.Unlock()
+		for _, service := range h.chooser.services {
+			services[service]++
+		}
+		return statuses, services
+	}
+	Convey("a stream goes on at its service, whatever its share of the route is", t, func() {
+		statuses, services := play(table.TrafficShare{Service: "t", Weight: 99}, table.TrafficShare{Service: "s", Weight: 1})
+		So(statuses, ShouldResemble, map[int]int{http.StatusOK: 20})
+		So(services, ShouldResemble, map[string]int{"s": 20})
+	})
+	Convey("it is refused as not run if its service is no longer one of the route's", t, func() {
+		statuses, services := play(table.TrafficShare{Service: "t", Weight: 1})
+		So(statuses, ShouldResemble, map[int]int{http.StatusServiceUnavailable: 20})
+		So(services, ShouldBeEmpty)
+	})
+}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -64,11 +64,11 @@
 
 // serve runs the request on an endpoint, retrying on others where allowed, and writes the response.
 func (req *request) serve() {
-	req.retryWindow.AddRequest(req.arrivedAt, req.proxy.opt.RetryAllowance())
 	if rej := req.findOrigin(); rej != nil {
 		req.reject(rej)
 		return
 	}
+	req.retryWindow.AddRequest(req.arrivedAt, req.proxy.opt.RetryAllowance())
 	last := attemptResult{rejection: &rejection{status: http.StatusServiceUnavailable, reason: "no time left", retryAfter: defaultRetryAfter}}
 	for req.attempts < maxAttempts {
 		now := req.proxy.opt.Now()
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -181,11 +181,16 @@
 	outcomes     []place.Outcome
 	limits       []place.Limit
 	brittles     []place.Brittle
+	// services lists the services for which an endpoint was asked for.
+	services []string
 	// limitedFor is the time for which limits are the reason that no endpoint is found.
 	limitedFor time.Duration
 }
 
 func (c *roundRobin) Pick(_ context.Context, req place.Request) (place.Choice, bool, error) {
+	c.mu.Lock()
+	c.services = append(c.services, req.Service)
+	c.mu.Unlock()
 	for range c.endpoints {
 		i := int(c.next.Add(1)-1) % len(c.endpoints)
 		id := fmt.Sprint("e", i)
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -42,6 +42,24 @@
 		}
 	}
 	req.build = from.Build
+	return req.bindService(from.Service)
+}
+
+// bindService sends the request to the service at which its stream began, if that is known. It returns a rejection if the route does not
+// lead there any more.
+func (req *request) bindService(name string) *rejection {
+	if name == "" || name == req.service.Name {
+		return nil
+	}
+	service := req.proxy.opt.View().Table.Service(name)
+	if service == nil || !req.route.LeadsTo(name) {
+		req.log.Info("the stream's service is not one of the route's", zap.String("service", name))
+		return &rejection{
+			status: http.StatusServiceUnavailable, reason: "the stream's service is not one of the route's", retryAfter: defaultRetryAfter,
+		}
+	}
+	req.service = service
+	req.retryWindow = req.proxy.retryWindows.window(service.Name)
 	return nil
 }
 
@@ -75,7 +93,7 @@
 	if !req.route.Resumable {
 		return
 	}
-	from := origin.Origin{Build: req.buildOf(choice), EndpointID: choice.ID, StartedAtMS: choice.StartedAtMS}
+	from := origin.Origin{Build: req.buildOf(choice), Service: req.service.Name, EndpointID: choice.ID, StartedAtMS: choice.StartedAtMS}
 	if !from.Certain(req.proxy.opt.View().Endpoints) {
 		from.Build = ""
 	}
--- a/pkg/table/index.go
+++ b/pkg/table/index.go
@@ -100,6 +100,16 @@
 	return r.TrafficSplit[len(r.TrafficSplit)-1].Service
 }
 
+// LeadsTo reports whether the route sends a part of its requests to a service.
+func (r *Route) LeadsTo(service string) bool {
+	for _, share := range r.TrafficSplit {
+		if share.Service == service && share.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // HashKey returns the form in which API keys are stored: the first 16 bytes of the SHA-256 digest in hexadecimal.
 func HashKey(key string) string {
 	digest := sha256.Sum256([]byte(key))
