place: two fields for what SentAgo of a limit meant

SentAgo was the age of the request in an event and the time since the end of the limit in a report of the leader; the latter is EndedAgo now. A report of an older leader tells no EndedAgo: the end is then taken as just seen, and the ramp begins a little later.

Check: go test ./internal/{place,picker} -run Limit. With it, a test that an instance which reaches some endpoints only serves all requests.

--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -44,9 +44,10 @@
 		PerSecond   float64 `json:"r,omitempty"`
 		// Lifted means that the endpoint names no limit.
 		Lifted bool `json:"l,omitempty"`
-		// SentAgo is the time since the request was sent whose answer told this, or, in a report of the leader, since the limit was
-		// lifted.
-		SentAgo time.Duration `json:"a,omitempty"`
+		// SentAgo is the time since the request was sent whose answer told this, EndedAgo, in a report of the leader, the time since the
+		// limit was lifted.
+		SentAgo  time.Duration `json:"a,omitempty"`
+		EndedAgo time.Duration `json:"e,omitempty"`
 	}
 
 	// LimitedError means that all endpoints which could take a request have reached their limits, or are brittle and have no room. Wait is the time until one of them
@@ -77,7 +78,7 @@
 
 // Check returns an error if the limit is invalid.
 func (l *Limit) Check() error {
-	if l.EndpointID == "" || math.IsNaN(l.PerSecond) || l.PerSecond < 0 || l.SentAgo < 0 {
+	if l.EndpointID == "" || math.IsNaN(l.PerSecond) || l.PerSecond < 0 || l.SentAgo < 0 || l.EndedAgo < 0 {
 		return errors.New("limit: endpoint is missing, or rate or age is invalid")
 	}
 	return nil
@@ -217,7 +218,7 @@
 		}
 		limit := Limit{EndpointID: id, StartedAtMS: ep.info.StartedAtMS, PerSecond: ep.limit.perSecond}
 		if !ep.limit.liftedAt.IsZero() {
-			limit.Lifted, limit.SentAgo = true, now.Sub(ep.limit.liftedAt)
+			limit.Lifted, limit.EndedAgo = true, now.Sub(ep.limit.liftedAt)
 		}
 		limits = append(limits, limit)
 	}
@@ -241,7 +242,7 @@
 			known.perSecond, known.liftedAt = limit.PerSecond, time.Time{}
 		case known == nil || now.Sub(known.namedAt) <= limitLife:
 		case ok && known.liftedAt.IsZero():
-			known.liftedAt = now.Add(-limit.SentAgo)
+			known.liftedAt = now.Add(-limit.EndedAgo)
 		case !ok:
 			ep.limit = nil
 		}
--- a/internal/proxy/detour_test.go
+++ b/internal/proxy/detour_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -30,14 +31,18 @@
 	linksSilent
 )
 
-// links is a dialer whose connections can be refused or left unanswered.
+// links is a dialer whose connections can be refused or left unanswered, or refused to some addresses only.
 type links struct {
-	state atomic.Int32
-	dials atomic.Int64
+	state   atomic.Int32
+	dials   atomic.Int64
+	refused sync.Map
 }
 
 func (l *links) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
 	l.dials.Add(1)
+	if _, refused := l.refused.Load(addr); refused {
+		return nil, errors.New("refused")
+	}
 	switch l.state.Load() {
 	case linksRefused:
 		return nil, errors.New("refused")
@@ -189,6 +194,20 @@
 			So(p.send(http.MethodPost, "/once/", "x").status, ShouldEqual, http.StatusOK)
 		}
 	})
+	Convey("an instance that reaches some of the endpoints serves all requests, wherever they are placed", t, func() {
+		p := newPair(t, echo, echo, echo)
+		p.setAddrs()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go p.proxy.Probe(ctx)
+		for _, e := range p.chooser.endpoints[:2] {
+			p.links.refused.Store(e.addr.String(), true)
+		}
+		for range 60 {
+			So(p.send(http.MethodPost, "/once/", "x").status, ShouldEqual, http.StatusOK)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
 	Convey("the instance goes back to its own links when they are up again, and connects no more often than needed meanwhile", t, func() {
 		p := newPair(t, echo)
 		ctx, cancel := context.WithCancel(context.Background())
