--- a/internal/blame/tracker.go
+++ b/internal/blame/tracker.go
@@ -171,7 +171,8 @@
 }
 
 // weighAgain returns the candidates that are not held, with the evidence that is left once the crashes of some more boots are
-// explained. Candidates too weak to be held are left out, as their evidence only shrinks, but for their share of the outages.
+// explained. Those with too few separate crashes are left out, as explaining more crashes only lowers that number. Those whose share
+// of the outages is too small stay, as it may grow when outages beside their crashes are explained.
 func (t *Tracker) weighAgain(candidates []evidence, boots []string, held map[uint64]bool, explained map[string]bool) (left []evidence) {
 	for _, e := range candidates {
 		if held[e.part] || e.separate < crashesToHold {
