--- a/internal/detour/wire.go
+++ b/internal/detour/wire.go
@@ -58,7 +58,7 @@
 
 	// Order asks an instance to send a request to an endpoint; the request's body follows.
 	Order struct {
-		// RequestID is the ID of the caller's request, by which its answer is told from others.
+		// RequestID is the ID of the caller's request, which distinguishes its answer from others.
 		RequestID string `json:"id"`
 		// RunID identifies the attempt in logs.
 		RunID      string         `json:"run"`
--- a/internal/proxy/build_test.go
+++ b/internal/proxy/build_test.go
@@ -91,28 +91,28 @@
 		h := newBuildHarness(t, "v1 v2", streamUpTo(20, 0), streamUpTo(20, 0))
 		know(h, "org", "first", "v2")
 		for n := range 4 {
-			resp := h.send(http.MethodPost, "/resume/", "x", "Id", "second", "Resumes", "first", "After", "7")
+			resp := h.send(http.MethodPost, "/resume/", "x", "Id", "second", "Continues", "first", "After", "7")
 			So(resp.status, ShouldEqual, http.StatusOK)
 			So(h.chooser.endpoints[1].requests(), ShouldHaveLength, n+1)
 		}
-		So(h.send(http.MethodPost, "/resume/", "x", "Id", "third", "Resumes", "second", "After", "9").status, ShouldEqual, http.StatusOK)
+		So(h.send(http.MethodPost, "/resume/", "x", "Id", "third", "Continues", "second", "After", "9").status, ShouldEqual, http.StatusOK)
 		So(h.chooser.endpoints[0].requests(), ShouldBeEmpty)
 	})
 	Convey("a request whose stream's version has no endpoint is told to come back, and nothing is sent", t, func() {
 		h := newBuildHarness(t, "v1 v1", streamUpTo(20, 0), streamUpTo(20, 0))
 		know(h, "org", "first", "v2")
-		resp := h.send(http.MethodPost, "/resume/", "x", "Resumes", "first", "After", "7", "Deadline", "4000")
+		resp := h.send(http.MethodPost, "/resume/", "x", "Continues", "first", "After", "7", "Deadline", "4000")
 		So(resp.status, ShouldEqual, http.StatusServiceUnavailable)
 		So(resp.header.Get("Retry-After"), ShouldNotBeEmpty)
 		So(h.chooser.endpoints[0].requests(), ShouldBeEmpty)
 		So(h.chooser.endpoints[1].requests(), ShouldBeEmpty)
 	})
 	for name, header := range map[string][]string{
-		"an unknown request":                      {"Resumes", "unknown", "After", "7"},
-		"one of another organisation":             {"Resumes", "foreign", "After", "7"},
-		"an unknown request, and no last event":   {"Resumes", "unknown"},
+		"an unknown request":                      {"Continues", "unknown", "After", "7"},
+		"one of another organisation":             {"Continues", "foreign", "After", "7"},
+		"an unknown request, and no last event":   {"Continues", "unknown"},
 		"none, and there are several versions":    {"After", "7"},
-		"a request that brought a head, no event": {"Resumes", "headOnly", "After", "7"},
+		"a request that brought a head, no event": {"Continues", "headOnly", "After", "7"},
 	} {
 		Convey("a request that names "+name+" is refused as not run", t, func() {
 			h := newBuildHarness(t, "v1 v2", streamUpTo(20, 0), streamUpTo(20, 0))
@@ -131,7 +131,7 @@
 	})
 	Convey("the names are not looked at on routes whose streams may not be resumed", t, func() {
 		h := newBuildHarness(t, "v1 v2", streamUpTo(20, 0), streamUpTo(20, 0))
-		So(h.send(http.MethodPost, "/stream/", "x", "Resumes", "unknown").status, ShouldEqual, http.StatusOK)
+		So(h.send(http.MethodPost, "/stream/", "x", "Continues", "unknown").status, ShouldEqual, http.StatusOK)
 	})
 }
 
@@ -159,7 +159,7 @@
 			h.view.Endpoints["e0"] = ep
 			h.origins.Record(origin.Record{Key: origin.KeyOf("org", "first"), Origin: origin.Origin{Build: "v1"}, Left: time.Minute})
 			for range 2 {
-				So(h.send(http.MethodPost, "/resume/", "x", "Resumes", "first", "After", "7").status, ShouldEqual, status)
+				So(h.send(http.MethodPost, "/resume/", "x", "Continues", "first", "After", "7").status, ShouldEqual, status)
 			}
 			targets := map[string]int{}
 			for _, req := range h.chooser.endpoints[0].requests() {
@@ -190,7 +190,7 @@
 		})
 		statuses, services = map[int]int{}, map[string]int{}
 		for range 20 {
-			statuses[h.send(http.MethodPost, "/resume/", "x", "Resumes", "first", "After", "7").status]++
+			statuses[h.send(http.MethodPost, "/resume/", "x", "Continues", "first", "After", "7").status]++
 		}
 		h.chooser.mu.Lock()
 		defer h.chooser.mu.Unlock()
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -61,7 +61,7 @@
 	return &detours{chooser: detour.NewChooser()}
 }
 
-// avoid keeps an instance from being chosen for a while.
+// avoid keeps an instance from being chosen for some time.
 func (d *detours) avoid(now time.Time, via netip.AddrPort) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -142,7 +142,7 @@
 }
 
 // waitOn returns how much longer to wait for an endpoint that has not answered in time, or 0 if a retry is reserved for the request.
-// Without a retry, nothing is won by giving up: the endpoint may only be silent for a while.
+// Without a retry, giving up gains nothing: the endpoint may be silent for a short time only.
 func (req *request) waitOn() time.Duration {
 	now := req.proxy.opt.Now()
 	if req.mayRetry() && req.takeRetry(now) {
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -37,7 +37,7 @@
 type testDialect struct{}
 
 func (testDialect) DecodeRequest(h http.Header) (RequestInfo, error) {
-	info := RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Resumes: h.Get("Resumes"), LastEventID: h.Get("After")}
+	info := RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Resumes: h.Get("Continues"), LastEventID: h.Get("After")}
 	if ms, err := strconv.Atoi(h.Get("Deadline")); err == nil {
 		info.Deadline = time.Duration(ms) * time.Millisecond
 	}
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -29,7 +29,7 @@
 }
 
 // TestSilentEndpointLosesItsRequests guards against requests that are broken off, or reported as crashes, because a sound endpoint is
-// silent for a while.
+// silent for a short time.
 func TestSilentEndpointLosesItsRequests(t *testing.T) {
 	slowEcho := func(req receivedRequest, c net.Conn) bool {
 		time.Sleep(silence)
