proxy, reach: detours are no longer named like the relay of streams

relayed meant both a stream that is passed on and a request that another instance sends; the latter is detoured and TriedByOther now. No change of behaviour. Check: go test ./internal/proxy ./internal/reach passes.

--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -129,7 +129,7 @@
 		return
 	}
 	now, ep := req.proxy.opt.Now(), startOf(choice)
-	if info.Pause > 0 && !req.relayed() {
+	if info.Pause > 0 && !req.detoured() {
 		req.proxy.notices.MarkPaused(now, ep, info.Pause)
 		req.log.Info("endpoint asks for a pause", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
 			zap.Duration("pause", info.Pause))
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -108,7 +108,7 @@
 				zap.Stringer("by", via), zap.Error(err))
 			switch unsent.Receipt.Result {
 			case detour.Unreached:
-				p.links.relayed(p.opt.Now(), choice.ID, false)
+				p.links.triedByOther(p.opt.Now(), choice.ID, false)
 				return nil, err
 			case detour.Unwilling:
 			default:
@@ -160,8 +160,8 @@
 	return false
 }
 
-// relayed reports whether the current attempt goes by way of another instance.
-func (req *request) relayed() bool {
+// detoured reports whether the current attempt goes by way of another instance.
+func (req *request) detoured() bool {
 	return req.via.IsValid()
 }
 
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -319,8 +319,8 @@
 	}
 	now := req.proxy.opt.Now()
 	req.answered, req.framing = true, answer.FramingOf(resp)
-	if req.relayed() {
-		req.proxy.links.relayed(now, choice.ID, true)
+	if req.detoured() {
+		req.proxy.links.triedByOther(now, choice.ID, true)
 		return resp, info, nil
 	}
 	req.proxy.links.answered(now, !call.Reused())
@@ -381,7 +381,7 @@
 	case errors.Is(err, errForeignResponse):
 		outcome = place.Failed
 	default:
-		if !req.relayed() {
+		if !req.detoured() {
 			req.reportIfCrashed(choice)
 		}
 		req.suspect = !req.sound && req.proxy.opt.View().Parts.AnySuspected(req.service.Name, req.sharedParts())
@@ -397,7 +397,7 @@
 func (req *request) recordBroken(now time.Time, choice place.Choice, call exchange, err error) {
 	switch {
 	case errors.Is(err, errForeignResponse), errors.Is(err, errCallerWrite), !now.Before(req.deadline):
-	case req.relayed():
+	case req.detoured():
 		if errors.Is(err, detour.ErrWay) && !isTimeout(err) {
 			req.proxy.detours.avoid(now, req.via)
 		}
--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -79,9 +79,9 @@
 	w.record(now, func(t *reach.Tracker) { t.Failed(now, endpointID) })
 }
 
-// relayed records whether another instance has reached an endpoint.
-func (w *linkWatch) relayed(now time.Time, endpointID string, reached bool) {
-	w.record(now, func(t *reach.Tracker) { t.Relayed(now, endpointID, reached) })
+// triedByOther records whether another instance has reached an endpoint.
+func (w *linkWatch) triedByOther(now time.Time, endpointID string, reached bool) {
+	w.record(now, func(t *reach.Tracker) { t.TriedByOther(now, endpointID, reached) })
 }
 
 // broken records that a connection broke, or that an endpoint did not answer in time. answered is set if the answer had begun.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -184,7 +184,7 @@
 		n, err := resp.Body.Read(buf)
 		timeout = s.req.gapTimeout()
 		if n > 0 {
-			if !s.req.relayed() {
+			if !s.req.detoured() {
 				s.req.proxy.links.answered(s.req.proxy.opt.Now(), false)
 			}
 			s.buffered = append(s.buffered, buf[:n]...)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// Relayed records whether another instance has reached an endpoint. If it has not, the endpoint is down.
-func (t *Tracker) Relayed(now time.Time, endpointID string, reached bool) {
+// TriedByOther records whether another instance has reached an endpoint. If it has not, the endpoint is down.
+func (t *Tracker) TriedByOther(now time.Time, endpointID string, reached bool) {
 	_, failedHere := t.failed[endpointID]
 	switch {
 	case !reached:
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -20,7 +20,7 @@
 	t.Answered(at(ms-100), true)
 	t.Failed(at(ms-20), "e1")
 	t.Failed(at(ms-10), "e2")
-	t.Relayed(at(ms), "e2", true)
+	t.TriedByOther(at(ms), "e2", true)
 	return t
 }
 
@@ -60,10 +60,10 @@
 		tr.Answered(at(40), true)
 		So(tr.State(at(40)), ShouldEqual, Reached)
 		tr = doubted()
-		tr.Relayed(at(30), "e1", false)
+		tr.TriedByOther(at(30), "e1", false)
 		So(tr.State(at(30)), ShouldEqual, Reached)
 		tr = doubted()
-		tr.Relayed(at(30), "e3", true)
+		tr.TriedByOther(at(30), "e3", true)
 		So(tr.State(at(30)), ShouldEqual, Doubted)
 		So(tr.State(at(2021)), ShouldEqual, Reached)
 	})
@@ -147,8 +147,8 @@
 						tr.Failed(now, fmt.Sprint("e", ms/step%7))
 					}
 				}
-				tr.Relayed(now, fmt.Sprint("e", ms/step%7), true)
-				tr.Relayed(now, fmt.Sprint("e", (ms/step+6)%7), true)
+				tr.TriedByOther(now, fmt.Sprint("e", ms/step%7), true)
+				tr.TriedByOther(now, fmt.Sprint("e", (ms/step+6)%7), true)
 			}
 			if state := tr.State(now); state != last && (state == Reached || last == Reached) {
 				last = state
