entry: a caller that pauses while it sends gets its refusal

Cause: the listener discards what a caller still sends only if something is unread at the moment of the close; a caller that pauses just then is reset with its next write.

Change: also if something was received in the last 200 ms; the rest is read in the background, so that Close does not wait.

--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/greengagewheel/greengagewheel/internal/conns"
@@ -15,6 +16,8 @@
 	keepAliveInterval = 5 * time.Second
 	// lingerTimeout is how long the rest of a request is read and discarded before the connection is closed.
 	lingerTimeout = time.Second
+	// sendingPause is the longest pause in which a caller is taken to be still sending.
+	sendingPause = 200 * time.Millisecond
 	// maxLingerBytes is the maximum size of the rest of a request that is read and discarded, in bytes.
 	maxLingerBytes = 64 << 20
 )
@@ -22,6 +25,11 @@
 // callerConn is a caller's connection.
 type callerConn struct {
 	*net.TCPConn
+	// readAt is when something was last received, in Unix nanoseconds.
+	readAt atomic.Int64
+	// abortive is set if the connection is to be reset when it is closed.
+	abortive atomic.Bool
+	closed   atomic.Bool
 }
 
 // listener sets TCP keep-alive and a timeout for unacknowledged data on the connections of callers.
@@ -47,17 +55,45 @@
 	}
 	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval})
 	conns.SetUserTimeout(tcp, l.ackTimeout)
-	return callerConn{tcp}, nil
+	return &callerConn{TCPConn: tcp}, nil
 }
 
-// Close closes the connection. If the caller is still sending, for instance a body that was rejected for its size, Close first
-// reads and discards data for a while, so that the caller can read the response before its connection is reset.
-func (c callerConn) Close() error {
-	if !conns.HasUnreadData(c.TCPConn) {
+// Read reads from the connection.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.readAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// SetLinger sets the behaviour of Close as net.TCPConn does; with 0 seconds, Close resets the connection.
+func (c *callerConn) SetLinger(seconds int) error {
+	c.abortive.Store(seconds == 0)
+	return c.TCPConn.SetLinger(seconds)
+}
+
+// Close closes the connection. If the caller is still sending, for instance a body that was rejected for its size, or has sent something
+// just now, its data is read and discarded for a time, so that the caller can read the response before its connection is reset. Close
+// does not wait for that.
+func (c *callerConn) Close() error {
+	if c.closed.Swap(true) {
+		return nil
+	}
+	mayBeSending := conns.HasUnreadData(c.TCPConn) || time.Since(time.Unix(0, c.readAt.Load())) < sendingPause
+	if c.abortive.Load() || !mayBeSending {
+		return c.TCPConn.Close()
+	}
+	if err := c.CloseWrite(); err != nil {
 		return c.TCPConn.Close()
 	}
-	_ = c.CloseWrite()
+	go c.drain()
+	return nil
+}
+
+// drain reads and discards what the caller still sends, and closes the connection.
+func (c *callerConn) drain() {
 	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.TCPConn, maxLingerBytes))
-	return c.TCPConn.Close()
+	_ = c.TCPConn.Close()
 }
