proxy: reset the connections of HTTP/1.0 callers on the listener that instances use

What callers saw: a broken stream ended like a whole one for a caller that gets no chunks. Found while the listener was changed; never reported.

Cause: only a plain TCP connection was reset; the listener of instances wraps its connections, and the test used one that does not.

Change: any connection with SetLinger; a line where that fails.

Check: TestBrokenStreamLooksCompleteWithoutChunks has a part on the listener of instances, which failed before (no error), passes.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -517,8 +518,9 @@
 		req.log.Warn("connection of the caller not reset", zap.Error(err))
 		return
 	}
-	if tcpConn, ok := c.(*net.TCPConn); ok {
-		_ = tcpConn.SetLinger(0)
+	lingerer, ok := c.(interface{ SetLinger(seconds int) error })
+	if !ok || lingerer.SetLinger(0) != nil {
+		req.log.Warn("connection of the caller not reset", zap.String("type", fmt.Sprintf("%T", c)))
 	}
 	_ = c.Close()
 }
--- a/internal/proxy/http10_test.go
+++ b/internal/proxy/http10_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http/httptest"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewheel/greengagewheel/internal/entry"
 )
 
 // TestBrokenStreamLooksCompleteWithoutChunks guards against a broken stream that ends like a complete one for a caller that gets
@@ -25,6 +28,16 @@
 		_, err := sendHTTP10(newHarness(t, streamThenClose(eventRange(1, 10)+event(11)[:7])))
 		So(err, ShouldNotBeNil)
 	})
+	Convey("so it is on the listener that instances use", t, func() {
+		h := newHarness(t, streamThenClose(eventRange(1, 10)+event(11)[:7]))
+		srv := httptest.NewUnstartedServer(h.proxy)
+		srv.Listener = entry.Listener(srv.Listener)
+		srv.Start()
+		defer srv.Close()
+		h.addr = srv.Listener.Addr().String()
+		_, err := sendHTTP10(h)
+		So(err, ShouldNotBeNil)
+	})
 	Convey("the connection of an HTTP/1.0 caller is closed after a complete stream", t, func() {
 		data, err := sendHTTP10(newHarness(t, streamThenClose(eventRange(1, 10))))
 		So(err, ShouldBeNil)
