--- a/internal/place/brittle.go
+++ b/internal/place/brittle.go
@@ -162,20 +162,28 @@
 	room = max(1, room)
 	turnover := b.serviceTime(ep.info.Service)
 	if b.instances <= 1 {
-		if float64(ep.running()+len(br.lingering)) >= math.Floor(room) {
-			return time.Duration(float64(turnover) / room)
-		}
-		return 0
+		return placeWait(ep.running()+len(br.lingering), room, turnover)
 	}
 	share := room * aloneBrittleShare / float64(b.instances)
 	if share >= 1 {
-		if float64(len(ep.attempts)+len(br.lingering)) >= math.Floor(share) {
-			return time.Duration(float64(turnover) / share)
-		}
+		return placeWait(len(ep.attempts)+len(br.lingering), share, turnover)
+	}
+	return b.spacedWait(now, ep, time.Duration(float64(turnover)/share))
+}
+
+// placeWait returns the time until one of room places is expected to be free, each of which is used for turnover, or 0 if one is.
+func placeWait(used int, room float64, turnover time.Duration) time.Duration {
+	if float64(used) < math.Floor(room) {
 		return 0
 	}
-	// Refusals of all instances together must stay within what the endpoint bears.
-	period := time.Duration(float64(turnover) / share)
+	return time.Duration(float64(turnover) / room)
+}
+
+// spacedWait returns the time until this entry instance, which chooses alone and has less than one place, may send the next request to
+// a brittle endpoint, or 0. Its requests are at least period apart; after a refusal, so far that the refusals of all instances together
+// stay within what the endpoint bears.
+func (b *Balancer) spacedWait(now time.Time, ep *endpoint, period time.Duration) time.Duration {
+	br := ep.brittle
 	if len(br.refusedAt) > 0 {
 		period = max(period, refusalWindow*time.Duration(b.instances)/time.Duration(max(1, br.refusals)))
 	}
