group: a replica whose storage failed stops saying that it leads before it answers

Cause: when storage fails, waiting proposals got their error before the published status was cleared; in between, the replica that has just refused still says that it leads.

Change: the status first.

Check: with a pause of 20 ms between the two, on a scratch copy, the test fails in the old order and passes in the new one; without it, 0 of 60 failed in either.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -218,8 +218,8 @@
 		timer.Reset(max(minTickInterval, g.core.NextTick().Sub(g.opt.Now())))
 		if err := g.processOutput(); err != nil {
 			g.opt.Log.Error("storage failed; the replica takes no part until it can be used", zap.Error(err))
-			g.failPending(err)
 			g.clearLeadership()
+			g.failPending(err)
 			g.core, g.failedAt = nil, g.opt.Now()
 			timer.Reset(reopenInterval)
 		}
