proxy: the test of a lost other instance does not race with its connection

Cause: the test closes the server of the other instance and sends at once. The shared connection may still look open; a request that was written to it may have been sent, and 502 is right then. The test is about an instance that is known to be gone, so it now connects anew; what it expects stays.

--- a/internal/proxy/detour_test.go
+++ b/internal/proxy/detour_test.go
@@ -322,6 +322,7 @@
 		before := len(p.chooser.outcomes)
 		p.chooser.mu.Unlock()
 		p.server.Close()
+		p.proxy.opt.Sender = http2Sender{conns.NewHTTP2(netip.Addr{}, nil)}
 		So(p.send(http.MethodPost, "/once/", "x").status, ShouldEqual, http.StatusServiceUnavailable)
 		p.chooser.mu.Lock()
 		defer p.chooser.mu.Unlock()
