rig, proxy: a wait without a result, and a comment that says what is checked

Read as a newcomer: waitSilent always returned true, which looked like a condition; the comment of lookUpOrigin claimed a history that is not looked at. No change of behaviour of the product.

Check: go vet; go test ./internal/rig -run TestGate, ./internal/proxy -run TakenUp.

--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -64,7 +64,7 @@
 }
 
 // lookUpOrigin finds the origin of the stream that the named request of the caller's organisation began. A caller that names none can
-// only be served if the endpoints of the service have had but one version.
+// only be served while all endpoints of the service have the same version.
 func (req *request) lookUpOrigin(requestID string) (origin.Origin, bool) {
 	if requestID == "" {
 		build := onlyBuild(req.proxy.opt.View().Endpoints, req.service.Name)
--- a/internal/rig/gate.go
+++ b/internal/rig/gate.go
@@ -139,9 +139,7 @@
 		c.reset()
 		return
 	}
-	if !g.waitSilent(pid) {
-		return
-	}
+	g.awaitSound(pid)
 	dialed, err := net.Dial("tcp", server)
 	if err != nil {
 		c.reset()
@@ -156,12 +154,12 @@
 	_ = c.server.Close()
 }
 
-// waitSilent waits while a process is cut off silently, and returns true.
-func (g *Gates) waitSilent(pid int) bool {
+// awaitSound waits while a process is cut off silently.
+func (g *Gates) awaitSound(pid int) {
 	for {
 		how, changed := g.cutOf(pid)
 		if how != CutSilent {
-			return true
+			return
 		}
 		<-changed
 	}
@@ -173,7 +171,7 @@
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
-		g.waitSilent(c.pid)
+		g.awaitSound(c.pid)
 		if n > 0 {
 			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
 				_ = from.Close()
