roster, router: announcements that pass replicas of an older build keep versions and numbers

Cause: an announcement that came through a replica which knows no software versions took the known version away, and one that only tells a version changed the state of newer replicas but not that of older ones, which numbered all later changes differently: an instance that turned from one to the other would refuse what it got (a lower number), or later miss changes. Change: the leader keeps the known version of the same start, and commits a step that all builds count before one that only tells a version. Checked: TestReplicasOfTwoBuildsNumberChangesDifferently; without the change it fails (version 1 instead of 2, the version lost).

--- a/internal/ctrl/machine.go
+++ b/internal/ctrl/machine.go
@@ -145,11 +145,11 @@
 	return m.state.Routing.Source, m.state.Routing.Version
 }
 
-// WouldChange reports whether an endpoint's announcement would change the state.
-func (m *Machine) WouldChange(e roster.Endpoint) bool {
+// AnnouncementSteps returns the announcements to commit for one of an endpoint, none if it would not change the state.
+func (m *Machine) AnnouncementSteps(e roster.Endpoint) []roster.Endpoint {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.state.Roster.WouldChange(e)
+	return m.state.Roster.Steps(e)
 }
 
 // Endpoints returns the known endpoints of the services in the routing table, in no particular order.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -96,6 +96,30 @@
 	}
 }
 
+// Steps returns the announcements to commit, in order, for one that a replica received; there are none if it changes nothing. An
+// announcement without a software version may have come through a replica whose build drops it; as a start never changes its version,
+// the known one is kept. One that only tells a version changes nothing for replicas of such a build, which would number all later
+// changes differently; so a step comes before it that all of them count, and that it undoes.
+func (r *Roster) Steps(e Endpoint) []Endpoint {
+	known := r.Records[e.ID]
+	if known != nil && known.Endpoint.StartedAtMS == e.StartedAtMS && e.Build == "" {
+		e.Build = known.Endpoint.Build
+	}
+	if !r.WouldChange(e) {
+		return nil
+	}
+	if known != nil && known.Endpoint.Build != e.Build {
+		withoutBuild := e
+		withoutBuild.Build = known.Endpoint.Build
+		if !r.WouldChange(withoutBuild) {
+			counted := e
+			counted.Slots++
+			return []Endpoint{counted, e}
+		}
+	}
+	return []Endpoint{e}
+}
+
 // WouldChange reports whether an announcement would change the roster.
 func (r *Roster) WouldChange(e Endpoint) bool {
 	if r.outdated(e) {
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -114,7 +114,7 @@
 // the next report to the leader.
 func (c *control) Announce(ctx context.Context, e roster.Endpoint) (netip.AddrPort, error) {
 	self := netip.AddrPortFrom(c.router.self.Addr.Addr(), c.operatorsPort)
-	if !c.router.machine.WouldChange(e) && c.serviceKnown(&e) && c.queueHeartbeat(clock.Now(), e.ID) {
+	if len(c.router.machine.AnnouncementSteps(e)) == 0 && c.serviceKnown(&e) && c.queueHeartbeat(clock.Now(), e.ID) {
 		return self, nil
 	}
 	if err := c.sendToLeader(ctx, leaderMessage{Endpoint: &e}); err != nil {
@@ -224,10 +224,14 @@
 			zap.Stringer("address", e.Addr))
 		return leaderReply{IsLeader: true, UnknownService: true}, nil
 	}
-	if c.router.machine.WouldChange(e) {
-		if err := c.commit(ctx, ctrl.Command{Announce: &e}); err != nil {
+	steps := c.router.machine.AnnouncementSteps(e)
+	for _, step := range steps {
+		if err := c.commit(ctx, ctrl.Command{Announce: &step}); err != nil {
 			return leaderReply{IsLeader: true}, err
 		}
+	}
+	if len(steps) > 0 {
+		e = steps[len(steps)-1]
 		c.router.log.Info("endpoint announced", zap.String("endpoint", e.ID), zap.String("service", e.Service),
 			zap.Stringer("address", e.Addr), zap.String("state", string(e.State)), zap.Int64("born", e.StartedAtMS),
 			zap.String("build", e.Build))
