origin: replicas of a build that keeps no origins are passed over

Change: an answer without the part about origins is an error; the next replicas become holders, and the silent one is tried again after 2 s. What the build before does: messages are unchanged; ignores them, answers as before. Checked: TestOriginIsUnknownElsewhere, two new cases; without the change the record is not found.

--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -29,8 +30,13 @@
 	maxAsked = 64
 	// holders is the number of replicas that each record is sent to, the leader first.
 	holders = 2
+	// unableTime is how long a replica whose build keeps no records gets none. It may be replaced by one of a later build.
+	unableTime = 2 * time.Second
 )
 
+// ErrNotKept means that an instance keeps no records, as its build knows none.
+var ErrNotKept = errors.New("the instance keeps no origins of streams")
+
 type (
 	// Message sends records to another instance, or asks it for one.
 	Message struct {
@@ -44,7 +50,7 @@
 		Found  bool   `json:"found,omitempty"`
 	}
 
-	// Sender sends messages to other instances.
+	// Sender sends messages to other instances. Its error is ErrNotKept if the other instance does not know such messages.
 	Sender interface {
 		SendOrigins(ctx context.Context, to netip.AddrPort, msg Message) (Reply, error)
 	}
@@ -71,12 +77,14 @@
 		wake chan struct{}
 		// sentTo lists the replicas that hold the records of this instance.
 		sentTo []netip.AddrPort
+		// unableUntil holds the replicas that keep no records, with the time until which they get none.
+		unableUntil map[netip.AddrPort]time.Time
 	}
 )
 
 // New returns a keeper without records.
 func New(opt Options) *Keeper {
-	return &Keeper{opt: opt, store: NewStore(), own: NewStore(), wake: make(chan struct{}, 1)}
+	return &Keeper{opt: opt, store: NewStore(), own: NewStore(), wake: make(chan struct{}, 1), unableUntil: map[netip.AddrPort]time.Time{}}
 }
 
 // Check returns an error if a record is invalid or there are too many.
@@ -103,6 +111,11 @@
 	if len(k.unsent) < maxBatch {
 		k.unsent = append(k.unsent, rec)
 	}
+	k.wakeUp()
+}
+
+// wakeUp makes Run send what is unsent.
+func (k *Keeper) wakeUp() {
 	select {
 	case k.wake <- struct{}{}:
 	default:
@@ -211,10 +224,14 @@
 // takeUnsent returns the replicas that hold the records of this instance, those of them that are new, the records that were not
 // sent yet, and, if there are new holders, all records.
 func (k *Keeper) takeUnsent() (to, fresh []netip.AddrPort, unsent, all []Record) {
-	replicas := k.opt.Replicas()
-	to = replicas[:min(holders, len(replicas))]
+	replicas, now := k.opt.Replicas(), k.opt.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	for _, addr := range replicas {
+		if len(to) < holders && !now.Before(k.unableUntil[addr]) {
+			to = append(to, addr)
+		}
+	}
 	unsent, k.unsent = k.unsent, nil
 	for _, addr := range to {
 		if !slices.Contains(k.sentTo, addr) {
@@ -223,19 +240,26 @@
 	}
 	k.sentTo = slices.Clone(to)
 	if len(fresh) > 0 {
-		all = k.own.All(k.opt.Now(), maxBatch)
+		all = k.own.All(now, maxBatch)
 	}
 	return to, fresh, unsent, all
 }
 
-// send sends records to a replica. After a failure, the replica gets all records with the next ones.
+// send sends records to a replica. After a failure, the replica gets all records with the next ones; if it keeps none, another one
+// gets them at once.
 func (k *Keeper) send(ctx context.Context, to netip.AddrPort, records []Record) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	if _, err := k.opt.Sender.SendOrigins(ctx, to, Message{Records: records}); err != nil {
-		k.opt.Log.Debug("origins of streams not sent", zap.Stringer("peer", to), zap.Int("records", len(records)), zap.Error(err))
-		k.mu.Lock()
-		k.sentTo = slices.DeleteFunc(k.sentTo, func(addr netip.AddrPort) bool { return addr == to })
-		k.mu.Unlock()
+	_, err := k.opt.Sender.SendOrigins(ctx, to, Message{Records: records})
+	if err == nil {
+		return
+	}
+	k.opt.Log.Debug("origins of streams not sent", zap.Stringer("peer", to), zap.Int("records", len(records)), zap.Error(err))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.sentTo = slices.DeleteFunc(k.sentTo, func(addr netip.AddrPort) bool { return addr == to })
+	if errors.Is(err, ErrNotKept) {
+		k.unableUntil[to] = k.opt.Now().Add(unableTime)
+		k.wakeUp()
 	}
 }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -92,12 +92,14 @@
 	mu      sync.Mutex
 	keepers map[netip.AddrPort]*Keeper
 	cut     map[netip.AddrPort]bool
-	asked   []netip.AddrPort
+	// older are the instances of builds that know no origins.
+	older map[netip.AddrPort]bool
+	asked []netip.AddrPort
 }
 
 func (n *network) SendOrigins(_ context.Context, to netip.AddrPort, msg Message) (reply Reply, err error) {
 	n.mu.Lock()
-	keeper, cut := n.keepers[to], n.cut[to]
+	keeper, cut, older := n.keepers[to], n.cut[to], n.older[to]
 	if msg.Find != nil {
 		n.asked = append(n.asked, to)
 	}
@@ -105,6 +107,9 @@
 	if cut || keeper == nil {
 		return reply, errors.New("not reached")
 	}
+	if older {
+		return reply, ErrNotKept
+	}
 	data, err := peer.Encode(msg)
 	if err != nil {
 		return reply, err
@@ -122,7 +127,7 @@
 
 // newNetwork returns three replicas (addresses 1 to 3, the first leads) and entries (from 11 on).
 func newNetwork(t *testing.T, entries int) *network {
-	n := &network{keepers: map[netip.AddrPort]*Keeper{}, cut: map[netip.AddrPort]bool{}}
+	n := &network{keepers: map[netip.AddrPort]*Keeper{}, cut: map[netip.AddrPort]bool{}, older: map[netip.AddrPort]bool{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	for i := 1; i <= 10+entries; i++ {
@@ -190,6 +195,30 @@
 		n.setCut(11, true)
 		So(n.find(12, "a"), ShouldEqual, "v1")
 	})
+	Convey("replicas of builds that know no origins are passed over", t, func() {
+		n := newNetwork(t, 2)
+		n.mu.Lock()
+		n.older[addr(1)], n.older[addr(2)] = true, true
+		n.mu.Unlock()
+		n.keepers[addr(11)].Record(record("a", "v1", time.Minute))
+		time.Sleep(5 * sendDelay)
+		n.setCut(11, true)
+		So(n.find(12, "a"), ShouldEqual, "v1")
+	})
+	Convey("a replica that has been replaced by one of a later build gets all records", t, func() {
+		n := newNetwork(t, 2)
+		n.mu.Lock()
+		n.older[addr(1)], n.older[addr(2)], n.older[addr(3)] = true, true, true
+		n.mu.Unlock()
+		n.keepers[addr(11)].Record(record("a", "v1", time.Minute))
+		time.Sleep(5 * sendDelay)
+		n.mu.Lock()
+		n.older[addr(1)] = false
+		n.mu.Unlock()
+		time.Sleep(unableTime + 2*holderInterval)
+		n.setCut(11, true)
+		So(n.find(12, "a"), ShouldEqual, "v1")
+	})
 	Convey("what nobody knows is not found, within twice the timeout", t, func() {
 		n := newNetwork(t, 3)
 		began := time.Now()
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -22,8 +22,11 @@
 func (s originSender) SendOrigins(ctx context.Context, to netip.AddrPort, msg origin.Message) (origin.Reply, error) {
 	var reply picker.LeaderReply
 	err := s.links.Call(ctx, to, peer.Ask, leaderTimeout, picker.LeaderRequest{Origin: &msg}, &reply)
-	if err != nil || reply.Origin == nil {
+	switch {
+	case err != nil:
 		return origin.Reply{}, err
+	case reply.Origin == nil:
+		return origin.Reply{}, origin.ErrNotKept
 	}
 	return *reply.Origin, nil
 }
