picker: an entry instance chooses itself while the leader's build knows no software versions

Change: if the choice does not tell the wanted version, the entry instance chooses among the endpoints whose version it knows and reports that as any choice of its own. What the build before does: nothing changes on the wire. Checked: TestLeaderOfOlderBuildIgnoresBuild; without the change the leader's choice of another version is returned.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -106,6 +106,10 @@
 		p.recordChoice(req, reply)
 		return reply.Choice, true, nil
 	}
+	if answered && req.Build != "" && reply.Found && reply.Choice.Build != req.Build {
+		// The leader's build knows no software versions, so this instance chooses.
+		answered = false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.syncBalancer()
