place, picker: the leader binds streams of entry instances that know no software versions

Change: the leader remembers where streams broke off after their first event, until the caller's deadline, and places the next attempt at that version, or nowhere while the version is not known. Entry instances that bind streams themselves say so in their requests (binds). What the build before does: send no such field and are bound by the leader; as leaders they ignore it. TestStreamOfOlderEntryIsBoundByLeader fails without the change.

--- a/internal/picker/older_build_test.go
+++ b/internal/picker/older_build_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -64,3 +65,40 @@
 		So(p.Running(), ShouldEqual, 1)
 	})
 }
+
+// TestStreamOfOlderEntryIsBoundByLeader guards against streams that an entry instance of a build without software versions has go on at
+// another version although the leader knows it, or at any while it does not.
+func TestStreamOfOlderEntryIsBoundByLeader(t *testing.T) {
+	goOn := func(builds []string, first string, binds bool) LeaderReply {
+		view := newView(len(builds))
+		for i, build := range builds {
+			ep := view.Endpoints[fmt.Sprint("e", i)]
+			ep.Build = build
+			view.Endpoints[ep.ID] = ep
+		}
+		s := NewServer(ServerOptions{
+			View: func() *ctrl.View { return view }, IsLeader: func() bool { return true }, Engines: fakeEngines{}, Now: time.Now, Log: zap.NewNop(),
+		})
+		reply, err := s.Serve(context.Background(), LeaderRequest{Entry: "x", Boot: "1", Sequence: 1, BindsStreams: binds, Events: []place.Event{
+			{AttemptID: "a/1", Start: &place.Request{AttemptID: "a/1", Service: "s", TimeLeft: time.Minute}, EndpointID: first},
+			{AttemptID: "a/1", FirstAnswer: time.Millisecond},
+			{AttemptID: "a/1", Outcome: place.ConnectionLost},
+		}, Request: &place.Request{AttemptID: "a/2", Service: "s", ExcludedIDs: []string{first}, TimeLeft: time.Minute}})
+		So(err, ShouldBeNil)
+		return reply
+	}
+	builds := []string{"v1", "v1", "v2", "v2"}
+	Convey("the leader binds it", t, func() {
+		for i, build := range builds {
+			reply := goOn(builds, fmt.Sprint("e", i), false)
+			So(reply.Found, ShouldBeTrue)
+			So(reply.Choice.Build, ShouldEqual, build)
+		}
+	})
+	Convey("it goes on nowhere while the version at which it began is not known", t, func() {
+		So(goOn([]string{"", "v1", "", "v2"}, "e0", false).Found, ShouldBeFalse)
+	})
+	Convey("an entry instance that binds streams itself may go anywhere", t, func() {
+		So(goOn([]string{"v1", "v2"}, "e0", true).Choice.Build, ShouldEqual, "v2")
+	})
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -195,7 +195,7 @@
 }
 
 func (p *Picker) call(leader netip.AddrPort, req LeaderRequest) (LeaderReply, error) {
-	req.Entry, req.Boot, req.Sequence = p.opt.Self.Name, p.opt.Self.Boot, p.sequence.Add(1)
+	req.Entry, req.Boot, req.Sequence, req.BindsStreams = p.opt.Self.Name, p.opt.Self.Boot, p.sequence.Add(1), true
 	var reply LeaderReply
 	err := p.opt.Links.CallHedged(context.Background(), leader, peer.Ask, hedgeDelay, callTimeout, req, &reply)
 	return reply, err
--- a/internal/picker/server.go
+++ b/internal/picker/server.go
@@ -48,6 +48,9 @@
 	}
 
 	// LeaderReply is the answer to a LeaderRequest.
+		// BindsStreams tells that the entry instance names the software version that a stream is bound to. Without it, the leader
+		// binds streams that go on within one answer.
+		BindsStreams bool `json:"binds,omitempty"`
 	LeaderReply struct {
 		// IsLeader is unset if the instance is not the leader; the request was not processed then.
 		IsLeader bool `json:"leads"`
@@ -126,6 +129,9 @@
 		}
 		reply.Loads = s.loadsFor(now, &req)
 	}
+		if !s.bindStream(now, &req) {
+			break
+		}
 	return reply, nil
 }
 
@@ -134,6 +140,17 @@
 	sentAt, service := s.entries[req.Entry].loadsSentAt, req.Request.Service
 	if at, ok := sentAt[service]; ok && now.Sub(at) < loadsInterval {
 		return nil
+// bindStream binds a request that goes on with a stream to the version at which that began, if its entry instance does not. It returns
+// false if the version is not known, as the stream must not go on then.
+func (s *Server) bindStream(now time.Time, req *LeaderRequest) bool {
+	if req.BindsStreams || req.Request.Build != "" {
+		return true
+	}
+	build, begun := s.balancer.BegunBuild(now, req.Request.AttemptID)
+	req.Request.Build = build
+	return !begun || build != ""
+}
+
 	}
 	sentAt[service] = now
 	loads := s.balancer.LoadExcept(now, service, req.Entry)
--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -119,13 +119,14 @@
 		instances int
 	}
 )
+		begun                 map[string]begunStream    // by ID of the caller's request
 
 // New returns a balancer without endpoints.
 func New() *Balancer {
 	return &Balancer{
 		endpoints: map[string]*endpoint{}, byService: map[string][]*endpoint{}, byAttempt: map[string]*endpoint{},
 		latencies: map[string]*latencyModel{}, demands: map[string]*prefillDemand{}, falls: map[string]fallRecord{},
-		serviceTimes: map[string]time.Duration{}, reservedPerBusyEngine: defaultReservedPerBusyEngine,
+		serviceTimes: map[string]time.Duration{}, begun: map[string]begunStream{}, reservedPerBusyEngine: defaultReservedPerBusyEngine,
 		instances: 1,
 	}
 }
@@ -469,6 +470,7 @@
 func (b *Balancer) RecordCached(id string, parts []PromptPart) {
 	ep := b.endpoints[id]
 	if ep == nil || ep.promptCache == nil {
+	b.recordBegun(now, ep, a, outcome)
 		return
 	}
 	ep.cacheReported = true
@@ -490,6 +492,7 @@
 	}
 }
 
+	b.pruneBegun(now)
 // EndEntry ends the attempts of an entry instance that has restarted.
 func (b *Balancer) EndEntry(now time.Time, entry string) {
 	for _, ep := range b.endpoints {
