place: prompts are fetched from engines that leave, and not from those that broke off

Cause: an engine that leaves was taken for one without a cache, so each prompt that only it held was prefilled again, in front of all that waited there; one that had crashed was still named as a source until its record was removed. Change: an engine that leaves takes no requests but stays a source while it is there; one that broke off or refused a connection is none for 10 s, unless a heartbeat or an answer is newer.

--- a/internal/place/affinity.go
+++ b/internal/place/affinity.go
@@ -1,6 +1,14 @@
 package place
 
-import "github.com/greengagewheel/greengagewheel/internal/roster"
+import (
+	"time"
+
+	"github.com/greengagewheel/greengagewheel/internal/roster"
+)
+
+// lostFor is how long an engine that broke off or refused a connection holds no prompts for others, unless a heartbeat or an answer
+// tells before that it runs.
+const lostFor = 10 * time.Second
 
 // preferredGain is the cost reduction of the preferred engine for a prompt that no engine is known to hold, in units of the
 // prefill time of its shared parts. It decides between engines of similar load.
@@ -25,15 +33,16 @@
 	}
 )
 
-// locatePrompt finds the engines that are likely to have a request's prompt cached.
-func (b *Balancer) locatePrompt(req *Request) (loc promptLocation) {
+// locatePrompt finds the engines that are likely to have a request's prompt cached. An engine that leaves takes no requests, but others
+// fetch from it while it is there; what only it holds would be prefilled again.
+func (b *Balancer) locatePrompt(now time.Time, req *Request) (loc promptLocation) {
 	if len(req.Parts) == 0 {
 		return loc
 	}
 	eps := b.byService[req.Service]
 	loc.preferred, loc.sharedTokens = preferredEngine(eps, req)
 	for _, ep := range eps {
-		if ep.promptCache == nil || ep.info.State != roster.Ready {
+		if ep.promptCache == nil || ep.lost(now) {
 			continue
 		}
 		if tokens := ep.cachedTokens(req, &loc); tokens > 0 {
@@ -43,11 +52,16 @@
 	return loc
 }
 
+// lost reports whether an engine has broken off or refused a connection and has not been heard of since.
+func (ep *endpoint) lost(now time.Time) bool {
+	return !ep.lostAt.IsZero() && now.Sub(ep.lostAt) < lostFor
+}
+
 // addHolder makes an engine the holder for its software version if it has more tokens than the present one.
 func (loc *promptLocation) addHolder(h promptHolder) {
 	for i := range loc.holders {
 		if known := &loc.holders[i]; known.engine.info.Build == h.engine.info.Build {
-			if h.tokens > known.tokens {
+			if h.tokens > known.tokens || h.tokens == known.tokens && known.engine.info.State != roster.Ready {
 				*known = h
 			}
 			return
--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -97,6 +97,8 @@
 		slowFactor   float64
 		slowFactorAt time.Time
 		// limit is the limit that the endpoint names, or nil.
+		// lostAt is when the endpoint last broke off or refused a connection, or zero if it was heard of since.
+		lostAt time.Time
 		limit *rateLimit
 		// brittle is set if the endpoint says that it falls over when it turns away many requests.
 		brittle *brittleness
@@ -202,7 +204,7 @@
 	if ep := b.byAttempt[req.AttemptID]; ep != nil {
 		return ep.choice(ep.attempts[req.AttemptID], usable-1), true
 	}
-	loc := b.locatePrompt(&req)
+	loc := b.locatePrompt(now, &req)
 	best := b.cheapest(now, &req, loc)
 	if best == nil {
 		return Choice{}, false
@@ -376,7 +378,7 @@
 	if e.Start != nil {
 		b.Cancel(e.AttemptID)
 		if ep := b.endpoints[e.EndpointID]; ep != nil {
-			b.addAttempt(now, ep, *e.Start, b.locatePrompt(e.Start))
+			b.addAttempt(now, ep, *e.Start, b.locatePrompt(now, e.Start))
 		}
 	}
 	ep := b.byAttempt[e.AttemptID]
@@ -440,7 +442,11 @@
 		b.recordServiceTime(ep.info.Service, now.Sub(a.startedAt))
 	case ConnectFailed, WrongEndpoint:
 		ep.addFailures(now, 4)
-	case ConnectionLost, TimedOut:
+		ep.lostAt = now
+	case ConnectionLost:
+		ep.addFailures(now, 2)
+		ep.lostAt = now
+	case TimedOut:
 		ep.addFailures(now, 2)
 	case Failed:
 		ep.addFailures(now, 0.5)
@@ -448,6 +454,7 @@
 		ep.addFailures(now, 1)
 	}
 }
+	ep.lostAt = time.Time{}
 
 // Tick removes attempts whose end was never reported, and counts a failure for each attempt whose first answer is overdue.
 func (b *Balancer) Tick(now time.Time) {
@@ -487,7 +494,14 @@
 // RecordHeartbeat records a heartbeat of an endpoint. One that is newer than the last failure lowers the failure count to at most
 // 1, so that the endpoint is used again.
 func (b *Balancer) RecordHeartbeat(now, at time.Time, id string) {
-	if ep := b.endpoints[id]; ep != nil && at.After(ep.failuresAt) {
+	ep := b.endpoints[id]
+	if ep == nil {
+		return
+	}
+	if at.After(ep.lostAt) {
+		ep.lostAt = time.Time{}
+	}
+	if at.After(ep.failuresAt) {
 		ep.failures, ep.failuresAt = min(ep.recentFailures(now), 1), now
 	}
 }
