place: engines for streams that the prefill of other prompts interrupts

Its first events are in time (95% within 0.16 s); its pauses are not: a chunk of 2,048 prompt tokens takes as long as a token may, and 10% of the streams paused for longer than 313 ms, 250 wanted. Engines were reserved for short prompts, but streams were not drawn to them, and short prompts of other kinds went there too. Change: entry instances report the longest pause of each stream and the objective for it. The load this answers: many short chats beside long prompts on engines with large chunks.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -282,6 +282,11 @@
 }
 
 // RecordLimit records what an endpoint said of its limit in an answer. News go to the leader at once, repetitions at intervals, as
+// RecordPause records the longest time between two events of an attempt's stream.
+func (p *Picker) RecordPause(attemptID string, longest time.Duration) {
+	p.record(place.Event{AttemptID: attemptID, LongestPause: longest})
+}
+
 // they tell that the limit is still in force.
 func (p *Picker) RecordLimit(limit place.Limit) {
 	p.mu.Lock()
--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -64,6 +64,8 @@
 		fetchFrom       netip.AddrPort
 		startedAt       time.Time
 		expectedLatency time.Duration
+		// steady is set for a steady stream, see prefillDemand.
+		steady bool
 		// engineWasIdle is set if the engine had no other prompt to prefill at the start, so that the answer is a valid sample for
 		// the latency model.
 		engineWasIdle bool
@@ -77,7 +79,9 @@
 		info     roster.Endpoint
 		isEngine bool
 		slots    int
-		attempts map[string]*attempt
+		// tokensPerEvent is the number of tokens in an event of an engine's streams.
+		tokensPerEvent int
+		attempts       map[string]*attempt
 		// prefilling is the attempt whose prompt the engine is assumed to prefill since prefillSince. Engines prefill one prompt at a
 		// time, in the order of arrival.
 		prefilling   *attempt
@@ -93,12 +97,12 @@
 		// failures is the decaying failure count as of failuresAt.
 		failures   float64
 		failuresAt time.Time
+		// lostAt is when the endpoint last broke off or refused a connection, or zero if it was heard of since.
+		lostAt time.Time
 		// slowFactor is the moving average of the ratio of measured to expected latency as of slowFactorAt; at least 1.
 		slowFactor   float64
 		slowFactorAt time.Time
 		// limit is the limit that the endpoint names, or nil.
-		// lostAt is when the endpoint last broke off or refused a connection, or zero if it was heard of since.
-		lostAt time.Time
 		limit *rateLimit
 		// brittle is set if the endpoint says that it falls over when it turns away many requests.
 		brittle *brittleness
@@ -115,13 +119,13 @@
 		demands               map[string]*prefillDemand // by service
 		falls                 map[string]fallRecord     // by service
 		serviceTimes          map[string]time.Duration  // by service
+		begun                 map[string]begunStream    // by ID of the caller's request
 		reservedPerBusyEngine float64
 		// name and instances are set by SetInstances.
 		name      string
 		instances int
 	}
 )
-		begun                 map[string]begunStream    // by ID of the caller's request
 
 // New returns a balancer without endpoints.
 func New() *Balancer {
@@ -157,6 +161,7 @@
 				ep.promptCache = newPromptCache(svc.Engine.Tokens)
 				engines = append(engines, info)
 			}
+			ep.tokensPerEvent = svc.Engine.TokensPerEvent
 			if svc.Engine.Slots > 0 {
 				ep.slots = svc.Engine.Slots
 			}
@@ -191,8 +196,11 @@
 }
 
 func (b *Balancer) removeEndpoint(ep *endpoint) {
-	for id := range ep.attempts {
+	for id, a := range ep.attempts {
 		delete(b.byAttempt, id)
+		if a.steady {
+			b.demandOf(ep.info.Service).steadyRunning--
+		}
 	}
 	delete(b.endpoints, ep.info.ID)
 }
@@ -232,12 +240,15 @@
 func (b *Balancer) cheapest(now time.Time, req *Request, loc promptLocation) *endpoint {
 	var best *endpoint
 	var bestCost time.Duration
-	reserved := b.demandOf(req.Service).reservedEngines(len(b.byService[req.Service]), b.reservedPerBusyEngine)
-	for i, ep := range b.byService[req.Service] {
+	eps, demand, reserved := b.byService[req.Service], b.demandOf(req.Service), 0
+	if len(eps) > 0 {
+		reserved = demand.reservedEngines(len(eps), eps[0].slots, b.reservedPerBusyEngine)
+	}
+	for i, ep := range eps {
 		if !ep.accepts(req) || b.waitOf(now, ep) > 0 {
 			continue
 		}
-		cost := b.cost(now, ep, req, loc, i < reserved)
+		cost := b.cost(now, ep, req, loc) + ep.reservationCost(demand, req, loc, i < reserved, reserved > 0)
 		if best == nil || cost < bestCost {
 			best, bestCost = ep, cost
 		}
@@ -275,7 +286,11 @@
 		ep.promptCache.touch(req.Parts)
 	}
 	if ep.isEngine {
-		b.demandOf(req.Service).add(now, ep.latency.prefillTime(prefill))
+		demand := b.demandOf(req.Service)
+		a.steady = demand.isSteady(&req, ep.latency.prefillTime(prefill), ep.tokensPerEvent)
+		if demand.add(now, ep.latency.prefillTime(prefill), a.steady); a.steady {
+			demand.steadyRunning++
+		}
 		if ep.prefilling == nil {
 			ep.prefilling, ep.prefillSince = a, now
 		}
@@ -324,14 +339,26 @@
 	return len(ep.attempts) + ep.otherLoad.Running
 }
 
-// cost returns the cost of choosing an endpoint, expressed as latency; reserved is set for an engine reserved for short prompts.
-func (b *Balancer) cost(now time.Time, ep *endpoint, req *Request, loc promptLocation, reserved bool) time.Duration {
+// reservationCost returns the cost of choosing an endpoint that is reserved for steady streams or not, while some are.
+func (ep *endpoint) reservationCost(demand *prefillDemand, req *Request, loc promptLocation, reserved, someReserved bool) time.Duration {
+	if !ep.isEngine || !someReserved {
+		return 0
+	}
+	prefillTokens, _, _ := ep.prefillWork(req, loc)
+	switch steady := demand.isSteady(req, ep.latency.prefillTime(prefillTokens), ep.tokensPerEvent); {
+	case reserved && !steady:
+		return reservedPenalty
+	case !reserved && steady && demand.interrupted:
+		return min(req.LatencyTarget/interruptionDivisor, maxInterruptionPenalty)
+	}
+	return 0
+}
+
+// cost returns the cost of choosing an endpoint, expressed as latency.
+func (b *Balancer) cost(now time.Time, ep *endpoint, req *Request, loc promptLocation) time.Duration {
 	prefillTokens, fetchTokens, _ := ep.prefillWork(req, loc)
 	total := time.Duration(float64(ep.expectedLatency(now, prefillTokens, fetchTokens)) * ep.recentSlowFactor(now))
 	if ep.isEngine {
-		if reserved && ep.latency.prefillTime(prefillTokens) > shortPrefill {
-			total += reservedPenalty
-		}
 		total += othersCostFactor*ep.latency.prefillTime(prefillTokens) +
 			time.Duration(fetchCostFactor*float64(ep.latency.prefillTime(fetchTokens)))
 		if loc.preferred == ep && loc.holder(ep.info.Build).tokens < loc.sharedTokens {
@@ -389,6 +416,9 @@
 	if e.FirstAnswer > 0 {
 		ep.recordFirstAnswer(now, a, e.FirstAnswer)
 	}
+	if e.LongestPause > 0 && a.req.GapTarget > 0 && ep.isEngine {
+		b.demandOf(ep.info.Service).addPause(now, e.LongestPause > a.req.GapTarget)
+	}
 	if e.Outcome != 0 {
 		b.endAttempt(now, ep, a, e.Outcome)
 	}
@@ -403,6 +433,9 @@
 	a := ep.attempts[attemptID]
 	delete(ep.attempts, attemptID)
 	delete(b.byAttempt, attemptID)
+	if a.steady {
+		b.demandOf(ep.info.Service).steadyRunning--
+	}
 	if !a.answered {
 		ep.pendingPrefillTokens -= a.prefillTokens
 	}
@@ -417,6 +450,7 @@
 		return
 	}
 	a.answered = true
+	ep.lostAt = time.Time{}
 	ep.pendingPrefillTokens -= a.prefillTokens
 	if ep.isEngine {
 		// The first answer follows the end of the prefill by the base delay.
@@ -436,6 +470,7 @@
 // the endpoint is down weigh more.
 func (b *Balancer) endAttempt(now time.Time, ep *endpoint, a *attempt, outcome Outcome) {
 	b.recordBrittleEnd(now, ep, a, outcome)
+	b.recordBegun(now, ep, a, outcome)
 	b.Cancel(a.req.AttemptID)
 	switch outcome {
 	case Completed:
@@ -454,10 +489,10 @@
 		ep.addFailures(now, 1)
 	}
 }
-	ep.lostAt = time.Time{}
 
 // Tick removes attempts whose end was never reported, and counts a failure for each attempt whose first answer is overdue.
 func (b *Balancer) Tick(now time.Time) {
+	b.pruneBegun(now)
 	for _, ep := range b.endpoints {
 		for _, a := range ep.attempts {
 			age := now.Sub(a.startedAt)
@@ -477,7 +512,6 @@
 func (b *Balancer) RecordCached(id string, parts []PromptPart) {
 	ep := b.endpoints[id]
 	if ep == nil || ep.promptCache == nil {
-	b.recordBegun(now, ep, a, outcome)
 		return
 	}
 	ep.cacheReported = true
@@ -506,7 +540,6 @@
 	}
 }
 
-	b.pruneBegun(now)
 // EndEntry ends the attempts of an entry instance that has restarted.
 func (b *Balancer) EndEntry(now time.Time, entry string) {
 	for _, ep := range b.endpoints {
--- a/internal/place/balancer_test.go
+++ b/internal/place/balancer_test.go
@@ -269,15 +269,16 @@
 	Convey("no engine is reserved if all prompts are short or there are few engines, and at most a third", t, func() {
 		now := time.Unix(1000, 0)
 		demand := &prefillDemand{}
-		demand.add(now, shortPrefill/2)
-		So(demand.reservedEngines(12, defaultReservedPerBusyEngine), ShouldEqual, 0)
-		demand.add(now, 10*shortPrefill)
-		So(demand.reservedEngines(12, defaultReservedPerBusyEngine), ShouldEqual, 1)
-		So(demand.reservedEngines(2, defaultReservedPerBusyEngine), ShouldEqual, 0)
+		reserved := func(engines int) int { return demand.reservedEngines(engines, 64, defaultReservedPerBusyEngine) }
+		demand.add(now, shortPrefill/2, true)
+		So(reserved(12), ShouldEqual, 0)
+		demand.add(now, 10*shortPrefill, false)
+		So(reserved(12), ShouldEqual, 1)
+		So(reserved(2), ShouldEqual, 0)
 		for range 1000 {
-			demand.add(now, shortPrefill/2)
+			demand.add(now, shortPrefill/2, true)
 		}
-		So(demand.reservedEngines(12, defaultReservedPerBusyEngine), ShouldEqual, 4)
+		So(reserved(12), ShouldEqual, 4)
 	})
 }
 
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -61,6 +61,8 @@
 		Build string `json:"build,omitempty"`
 		// LatencyTarget is the latency objective.
 		LatencyTarget time.Duration `json:"target"`
+		// GapTarget is the largest time between the events of a stream that is on time, or 0 if there is none or it is not told.
+		GapTarget time.Duration `json:"gap,omitempty"`
 		// TimeLeft is the time until the caller's deadline.
 		TimeLeft time.Duration `json:"left"`
 	}
@@ -101,6 +103,8 @@
 		EndpointID string   `json:"at,omitempty"`
 		// FirstAnswer is the time from the start to the first answer, or 0.
 		FirstAnswer time.Duration `json:"first,omitempty"`
+		// LongestPause is the longest time between two events of a stream that has ended, or 0.
+		LongestPause time.Duration `json:"pause,omitempty"`
 		// Outcome is set at the end of the attempt.
 		Outcome Outcome `json:"end,omitempty"`
 	}
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -36,7 +36,7 @@
 			AttemptID: req.attemptID, Service: req.service.Name, Priority: req.priority(), BodyBytes: len(req.body),
 			InputTokens: req.caller.InputTokens, OutputTokens: req.caller.OutputTokens,
 			Parts: req.caller.Parts, ExcludedIDs: req.unusableEndpoints(now, unwilling), Build: req.build,
-			LatencyTarget: req.route.LatencyTarget, TimeLeft: req.deadline.Sub(now),
+			LatencyTarget: req.route.LatencyTarget, GapTarget: req.route.GapTarget, TimeLeft: req.deadline.Sub(now),
 		})
 		if err == nil && (!req.fits(choice) || !req.proxy.notices.Admit(req.proxy.opt.Now(), startOf(choice))) {
 			// The endpoint has started again or gave notice while it was being chosen.
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -206,6 +206,8 @@
 	return place.Choice{}, false, errors.New("none")
 }
 
+func (c *roundRobin) RecordPause(string, time.Duration) {}
+
 func (c *roundRobin) RecordFirstAnswer(string, time.Duration) {
 	select {
 	case c.firstAnswers <- struct{}{}:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -57,6 +57,8 @@
 	Chooser interface {
 		Pick(ctx context.Context, req place.Request) (choice place.Choice, byLeader bool, err error)
 		RecordFirstAnswer(attemptID string, elapsed time.Duration)
+		// RecordPause tells it the longest time between two events of a stream, before the attempt ends.
+		RecordPause(attemptID string, longest time.Duration)
 		RecordOutcome(attemptID string, outcome place.Outcome)
 		// RecordLimit tells it what an endpoint said of its limit in an answer.
 		RecordLimit(limit place.Limit)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -62,6 +62,9 @@
 		if err == nil {
 			s.sendHeader()
 			call.Release(req.proxy.opt.Now(), resp, egress.IdleTimeout(info.IdleTimeout))
+			if req.route.GapTarget > 0 && req.sentCount == 1 {
+				req.proxy.opt.Chooser.RecordPause(req.attemptID, req.maxGap)
+			}
 			req.proxy.opt.Chooser.RecordOutcome(req.attemptID, place.Completed)
 			req.clearCrashReport()
 			if !req.sound {
