repl: the first election after a start does not wait for a timeout

Cause: after a loss of power the first replicas ask for votes before a majority has started, or two at once, and then waited for a whole election timeout. Change: until a replica has heard of a leader since its start, it repeats its pre-vote after 60 to 160 ms and gives up a vote after 300 to 600 ms. Pre-votes change no term, and replicas with a live leader refuse them.

--- a/internal/repl/append.go
+++ b/internal/repl/append.go
@@ -131,7 +131,7 @@
 	if c.role != Follower || c.leader != m.From {
 		c.becomeFollower(c.hardState.Term, m.From)
 	}
-	c.lastLeaderContact = c.now
+	c.lastLeaderContact, c.heardLeader = c.now, true
 	c.resetElectionDeadline(c.now)
 }
 
--- a/internal/repl/core.go
+++ b/internal/repl/core.go
@@ -45,8 +45,10 @@
 		electionDeadline  time.Time
 		nextHeartbeat     time.Time
 		preVoting         bool
-		votes             map[string]bool
-		progress          map[string]*progress
+		// heardLeader is set once this replica has led or heard from a leader since its start.
+		heardLeader bool
+		votes       map[string]bool
+		progress    map[string]*progress
 		// readRound is the number of the latest quorum read that this replica started as a leader.
 		readRound    uint64
 		pendingReads []pendingRead
@@ -171,9 +173,24 @@
 	c.resetElectionDeadline(now)
 	if m, ok := c.conf.Find(c.id); ok && m.Voter {
 		c.campaign(true)
+		c.hastenFirstElection()
 	}
 }
 
+// hastenFirstElection shortens the time to the next attempt while no leader has been heard of since the start. After a loss of power the
+// first replicas ask before enough others have started, and two may ask for votes at once. A vote gets more time than a pre-vote, as it
+// waits for disks.
+func (c *Core) hastenFirstElection() {
+	if c.heardLeader || c.role != Candidate {
+		return
+	}
+	shortest, longest := minVoteRepeat, maxVoteRepeat
+	if c.preVoting {
+		shortest, longest = minPreVoteRepeat, maxPreVoteRepeat
+	}
+	c.electionDeadline = c.now.Add(shortest + time.Duration(c.rng.Int64N(int64(longest-shortest))))
+}
+
 func (c *Core) tickLeader(now time.Time) {
 	if !c.quorumActive(now) {
 		c.becomeFollower(c.hardState.Term, "")
--- a/internal/repl/elect.go
+++ b/internal/repl/elect.go
@@ -21,6 +21,8 @@
 	if !preVote {
 		c.hardState = HardState{Term: term, Vote: c.id}
 		kind = VoteRequest
+		c.resetElectionDeadline(c.now)
+		c.hastenFirstElection()
 	}
 	if c.advanceElection() {
 		return
@@ -97,6 +99,7 @@
 func (c *Core) becomeLeader() {
 	c.role = Leader
 	c.leader = c.id
+	c.heardLeader = true
 	c.progress = map[string]*progress{}
 	c.pendingReads = nil
 	c.trackMembers()
--- a/internal/repl/types.go
+++ b/internal/repl/types.go
@@ -19,6 +19,13 @@
 	// maxFirstElectionDelay is the longest time from the start of a replica to its first pre-vote. It may be shorter than
 	// MinElectionTimeout because replicas with a live leader reject pre-votes.
 	maxFirstElectionDelay = 300 * time.Millisecond
+	// minPreVoteRepeat and maxPreVoteRepeat bound the time between two pre-votes of a replica that has not heard of a leader since its
+	// start. They exceed a few round trips between zones.
+	minPreVoteRepeat = 60 * time.Millisecond
+	maxPreVoteRepeat = 160 * time.Millisecond
+	// minVoteRepeat and maxVoteRepeat bound the time after which such a replica gives up a vote that it has not won.
+	minVoteRepeat = 300 * time.Millisecond
+	maxVoteRepeat = 600 * time.Millisecond
 
 	// maxBatchEntries and maxBatchBytes limit the entries of one AppendRequest.
 	maxBatchEntries = 1024
