spread: an instance gets the first proof after an election when it is made

Change: a pull that was held as long as the pause is followed by the next at once; each seed is the first for a part of the instances.

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
@@ -35,7 +36,8 @@
 	bestParentInterval = 5 * time.Second
 	// pullTimeout limits one pull.
 	pullTimeout = memb.MaxHold + 300*time.Millisecond
-	// retryDelay is the time between two pulls after a failure.
+	// retryDelay is the minimum time between the starts of two pulls after a failure. A pull that was held as long is followed by the
+	// next at once, so that an instance learns of the first proof after an election when it is made.
 	retryDelay = 100 * time.Millisecond
 	// unprovenHold is the longest time for which a parent with no proof or a stale one holds a pull. It is short, as another
 	// parent may have a proof; it is not 0, as all parents get a proof at about the same time after an election.
@@ -165,8 +167,9 @@
 			parentIndex, lastReset = 0, clock.Now()
 		}
 		if !d.pull(ctx, parents[parentIndex%len(parents)]) || d.ProofAge(clock.Now()) > staleAge {
-			if parentIndex++; d.waitWakeup(ctx, retryDelay) {
+			if parentIndex++; d.waitWakeup(ctx, retryDelay-clock.Since(began)) {
 				parentIndex = 0
+		began := clock.Now()
 			}
 		}
 		d.logProofState()
@@ -200,7 +203,7 @@
 	if d.opt.SeedAddrs == nil {
 		return addrs
 	}
-	for _, addr := range d.opt.SeedAddrs() {
+	for _, addr := range seedOrder(d.opt.Self.Name, d.opt.SeedAddrs()) {
 		if addr != d.opt.Self.Addr && !slices.Contains(addrs, addr) {
 			addrs = append(addrs, addr)
 		}
@@ -211,6 +214,16 @@
 // Replicas returns the known instances that hold a replica of the log.
 func (d *Distributor) Replicas() []memb.Replica {
 	if d.opt.LocalReplica != nil {
+// seedOrder returns the seeds in the order in which an instance asks them. Each is the first for some of the instances, as all ask
+// seeds at the same time after a loss of power.
+func seedOrder(name string, seeds []netip.AddrPort) []netip.AddrPort {
+	if len(seeds) == 0 {
+		return nil
+	}
+	first := xxhash.Sum64String(name) % uint64(len(seeds))
+	return slices.Concat(seeds[first:], seeds[:first])
+}
+
 		return d.opt.LocalReplica.Replicas()
 	}
 	return *d.replicas.Load()
