spread, router: registrations after a loss of power do not go to all instances one by one

Cause: each instance registers its new boot ID when it starts, and each registration was a new version that ended the held pulls of all others: 295 commits and up to 295 answers for each, while callers wait and the leader has their requests to place. One that stops before registers first, so that it can be deregistered.

--- a/internal/quorum/register.go
+++ b/internal/quorum/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,16 +27,25 @@
 	// SilentInstances returns the instances that have not registered for the given time, and none unless this instance leads the log.
 	// It is nil on instances that hold no replica.
 	SilentInstances func(age time.Duration) []ctrl.Instance
-	Log             *zap.Logger
+	// Delay waits before the first registration, and returns early when the context ends. It may be nil.
+	Delay func(ctx context.Context)
+	Log   *zap.Logger
+	// registered is set after the first registration.
+	registered atomic.Bool
 }
 
 // Run registers the instance periodically and deregisters lost instances, until the context ends.
 func (r *Registrar) Run(ctx context.Context) {
+	if r.Delay != nil {
+		r.Delay(ctx)
+	}
 	for ctx.Err() == nil {
 		wait := registerInterval
 		if err := r.propose(ctx, ctrl.Command{Register: &r.Self}); err != nil {
 			r.Log.Debug("not registered", zap.Error(err))
 			wait = registerRetryDelay
+		} else {
+			r.registered.Store(true)
 		}
 		if r.SilentInstances != nil {
 			for _, instance := range r.SilentInstances(deregisterAfter) {
@@ -49,8 +59,14 @@
 	}
 }
 
-// Deregister deregisters the instance. Its errors are those of Client.Propose.
+// Deregister deregisters the instance. One that has not registered yet does so first, as it may be registered by its name under an
+// earlier boot ID. Its errors are those of Client.Propose.
 func (r *Registrar) Deregister(ctx context.Context) error {
+	if !r.registered.Load() {
+		if err := r.propose(ctx, ctrl.Command{Register: &r.Self}); err != nil {
+			return err
+		}
+	}
 	return r.propose(ctx, ctrl.Command{Deregister: &ctrl.Deregister{Name: r.Self.Name, Boot: r.Self.Boot}})
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -206,7 +206,7 @@
 	r.distributor = spread.New(opt)
 	r.origins = r.newOrigins()
 	r.quorum = quorum.NewClient(r.links, r.replicas, r.leader)
-	r.registrar = &quorum.Registrar{Client: r.quorum, Self: r.self, Log: r.log}
+	r.registrar = &quorum.Registrar{Client: r.quorum, Self: r.self, Delay: r.delayRegistration, Log: r.log}
 	if r.group != nil {
 		r.quorumServer = quorum.NewServer(r.group, r.machine, r.distributor.LeastVersion)
 		r.machine.OnChange(r.distributor.Wake)
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -368,7 +368,9 @@
 	d.opt.Log.Info("configuration applied", zap.Uint64("version", version), zap.Uint64("before", old.Version),
 		zap.Int("changed", len(items)), zap.Bool("full", full), zap.Uint64("table", view.Table.Version()),
 		zap.Int("endpoints", len(view.Endpoints)), zap.Int("prints", len(view.Crashes)), zap.Int("parts", len(view.Parts)))
-	d.notifyPulls()
+	if wakesPulls(items, full) {
+		d.notifyPulls()
+	}
 	return true
 }
 
@@ -379,6 +381,12 @@
 	}
 	view := &ctrl.View{
 		Version: version, Instances: maps.Clone(old.Instances), Crashes: maps.Clone(old.Crashes), Cells: maps.Clone(old.Cells),
+// wakesPulls reports whether a change goes to other instances at once. One of the list of instances goes with the next proof: after a
+// loss of power all instances register, and each registration would be an answer to each of them.
+func wakesPulls(changed []ctrl.Item, full bool) bool {
+	return full || slices.ContainsFunc(changed, func(item ctrl.Item) bool { return item.Kind != ctrl.KindInstance })
+}
+
 		Parts: maps.Clone(old.Parts),
 	}
 	contracts := map[string]*contr.Contract{}
