picker: the first placements wait longer for a new leader

Change: until a leader has answered, or two answers were missed, a placement waits for up to 200 ms, at most a quarter of its latency objective. What the build before does: nothing changes on the wire.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -24,6 +24,11 @@
 	// answerTimeout is how long a placement waits for the leader: a few round trips between zones, for both attempts of
 	// the hedged call.
 	answerTimeout = 45 * time.Millisecond
+	// newLeaderTimeout is how long placements wait for a leader that has not answered yet: connections must be made, and after a loss of
+	// power all entry instances make them at once. It is at most one in newLeaderWaitDivisor of the latency objective. Without the
+	// leader, which knows the engines' caches, most prompts would be prefilled again.
+	newLeaderTimeout     = 200 * time.Millisecond
+	newLeaderWaitDivisor = 4
 	// callTimeout is the time after which an unanswered call fails and its connection is closed.
 	callTimeout = time.Second
 	// maxMisses is the number of consecutive missed answers after which the leader is not asked for a while.
@@ -65,6 +70,8 @@
 		events []place.Event
 		// leader is the leader that the events are meant for.
 		leader netip.AddrPort
+		// leaderIsNew is set until the leader has answered or missed maxMisses answers.
+		leaderIsNew bool
 		// misses is the number of consecutive answers of the leader that were not in time.
 		misses       int
 		backoffUntil time.Time
@@ -180,7 +187,7 @@
 		}
 		replies <- reply
 	}()
-	t := time.NewTimer(answerTimeout)
+	t := time.NewTimer(p.answerTimeout(req.LatencyTarget))
 	defer t.Stop()
 	select {
 	case reply := <-replies:
@@ -201,15 +208,26 @@
 	return reply, err
 }
 
+// answerTimeout returns how long a placement waits for the leader.
+func (p *Picker) answerTimeout(latencyTarget time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.leaderIsNew {
+		return answerTimeout
+	}
+	return max(answerTimeout, min(newLeaderTimeout, latencyTarget/newLeaderWaitDivisor))
+}
+
 // recordAnswer records whether the leader answered in time, and starts the backoff after maxMisses misses in a row.
 func (p *Picker) recordAnswer(inTime bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if inTime {
-		p.misses = 0
+		p.misses, p.leaderIsNew = 0, false
 		return
 	}
 	if p.misses++; p.misses == maxMisses {
+		p.leaderIsNew = false
 		p.misses, p.backoffUntil = 0, p.opt.Now().Add(leaderBackoff)
 		p.opt.Log.Warn("leader does not place requests; this entry does",
 			zap.Stringer("leader", p.leader), zap.Duration("for", leaderBackoff))
@@ -229,7 +247,7 @@
 		return leader, nil, false
 	}
 	if leader != p.leader {
-		p.leader, p.misses = leader, 0
+		p.leader, p.misses, p.leaderIsNew = leader, 0, true
 		p.events = nil
 		for id, a := range p.attempts {
 			p.events = append(p.events, place.Event{AttemptID: id, Start: &a.req, EndpointID: a.endpointID})
