picker: reports of the endpoints' load are rarer in large fleets

Cause: the leader tells each entry instance the load of each service it uses once a second, for when it does not answer: with 295 entry instances some 350 reports of 160 endpoints a second. Change: the interval grows with the number of entry instances, to 2.4 s with 295; services with limited or brittle endpoints keep 1 s.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -106,6 +106,10 @@
 		p.RecordOutcome(req.AttemptID, place.CallerLeft)
 		return choice, false, ctx.Err()
 	}
+	if answered && req.Build != "" && reply.Found && reply.Choice.Build != req.Build {
+		// The leader's build knows no software versions, so this instance chooses.
+		answered = false
+	}
 	if answered {
 		if !reply.Found {
 			return choice, true, noEndpoint(reply.LimitedFor)
@@ -113,10 +117,6 @@
 		p.recordChoice(req, reply)
 		return reply.Choice, true, nil
 	}
-	if answered && req.Build != "" && reply.Found && reply.Choice.Build != req.Build {
-		// The leader's build knows no software versions, so this instance chooses.
-		answered = false
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.syncBalancer()
@@ -282,6 +282,11 @@
 	p.record(place.Event{AttemptID: attemptID, FirstAnswer: latency})
 }
 
+// RecordPause records the longest time between two events of an attempt's stream.
+func (p *Picker) RecordPause(attemptID string, longest time.Duration) {
+	p.record(place.Event{AttemptID: attemptID, LongestPause: longest})
+}
+
 // RecordOutcome records the outcome of an attempt.
 func (p *Picker) RecordOutcome(attemptID string, outcome place.Outcome) {
 	p.record(place.Event{AttemptID: attemptID, Outcome: outcome})
@@ -300,11 +305,6 @@
 }
 
 // RecordLimit records what an endpoint said of its limit in an answer. News go to the leader at once, repetitions at intervals, as
-// RecordPause records the longest time between two events of an attempt's stream.
-func (p *Picker) RecordPause(attemptID string, longest time.Duration) {
-	p.record(place.Event{AttemptID: attemptID, LongestPause: longest})
-}
-
 // they tell that the limit is still in force.
 func (p *Picker) RecordLimit(limit place.Limit) {
 	p.mu.Lock()
--- a/internal/picker/server.go
+++ b/internal/picker/server.go
@@ -27,6 +27,11 @@
 	// loadsInterval is the minimum time between two reports of a service's load to an entry instance, which uses them only while
 	// the leader does not answer.
 	loadsInterval = time.Second
+	// loadsIntervalPerEntry makes the interval longer where there are many entry instances, so that the reports of all together take
+	// no more of the leader's time and of the traffic between zones. It is at most maxLoadsInterval, as entry instances discard older
+	// reports.
+	loadsIntervalPerEntry = 8 * time.Millisecond
+	maxLoadsInterval      = 2500 * time.Millisecond
 	// maxCacheQueries is the maximum number of concurrent cache queries to engines.
 	maxCacheQueries = 64
 	// cacheQueryTimeout is the timeout of a cache query to an engine.
@@ -43,14 +48,14 @@
 		Sequence uint64         `json:"number"`
 		Request  *place.Request `json:"request,omitempty"`
 		Events   []place.Event  `json:"events,omitempty"`
+		// BindsStreams tells that the entry instance names the software version that a stream is bound to. Without it, the leader
+		// binds streams that go on within one answer.
+		BindsStreams bool `json:"binds,omitempty"`
 		// Origin, if set, is about the origins of streams; it may be sent to any instance, and no other field counts.
 		Origin *origin.Message `json:"origin,omitempty"`
 	}
 
 	// LeaderReply is the answer to a LeaderRequest.
-		// BindsStreams tells that the entry instance names the software version that a stream is bound to. Without it, the leader
-		// binds streams that go on within one answer.
-		BindsStreams bool `json:"binds,omitempty"`
 	LeaderReply struct {
 		// IsLeader is unset if the instance is not the leader; the request was not processed then.
 		IsLeader bool `json:"leads"`
@@ -124,22 +129,17 @@
 	case duplicate && !s.balancer.HasAttempt(req.Request.AttemptID):
 		// The attempt of the first delivery has already ended, so its answer was received.
 	default:
+		if !s.bindStream(now, &req) {
+			break
+		}
 		if reply.Choice, reply.Found = s.balancer.Place(now, *req.Request); !reply.Found {
 			reply.LimitedFor = s.balancer.LimitedFor(now, req.Request)
 		}
 		reply.Loads = s.loadsFor(now, &req)
 	}
-		if !s.bindStream(now, &req) {
-			break
-		}
 	return reply, nil
 }
 
-// loadsFor returns the load of the requested service, or nil if it was sent to the entry instance recently.
-func (s *Server) loadsFor(now time.Time, req *LeaderRequest) *place.ServiceLoad {
-	sentAt, service := s.entries[req.Entry].loadsSentAt, req.Request.Service
-	if at, ok := sentAt[service]; ok && now.Sub(at) < loadsInterval {
-		return nil
 // bindStream binds a request that goes on with a stream to the version at which that began, if its entry instance does not. It returns
 // false if the version is not known, as the stream must not go on then.
 func (s *Server) bindStream(now time.Time, req *LeaderRequest) bool {
@@ -151,12 +151,27 @@
 	return !begun || build != ""
 }
 
+// loadsFor returns the load of the requested service, or nil if it was sent to the entry instance recently.
+func (s *Server) loadsFor(now time.Time, req *LeaderRequest) *place.ServiceLoad {
+	sentAt, service := s.entries[req.Entry].loadsSentAt, req.Request.Service
+	interval := loadsInterval
+	if !s.balancer.HasNotices(service) {
+		interval = reportInterval(len(s.entries))
+	}
+	if at, ok := sentAt[service]; ok && now.Sub(at) < interval {
+		return nil
 	}
 	sentAt[service] = now
 	loads := s.balancer.LoadExcept(now, service, req.Entry)
 	return &loads
 }
 
+// reportInterval returns the time between two reports of a service without limited or brittle endpoints, by the number of entry
+// instances.
+func reportInterval(entries int) time.Duration {
+	return min(max(loadsInterval, time.Duration(entries)*loadsIntervalPerEntry), maxLoadsInterval)
+}
+
 // isDuplicate records a request and reports whether it was received before. It ends the attempts of an entry instance that has
 // restarted.
 func (s *Server) isDuplicate(now time.Time, req *LeaderRequest) bool {
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -29,6 +29,16 @@
 	return loads
 }
 
+// HasNotices reports whether a service has endpoints that are known to be limited or brittle, which entry instances must learn soon.
+func (b *Balancer) HasNotices(service string) bool {
+	for _, ep := range b.byService[service] {
+		if ep.limit != nil || ep.brittle != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // SetOtherLoad sets the load from other entry instances and the limits of endpoints, as reported by the leader.
 func (b *Balancer) SetOtherLoad(now time.Time, loads ServiceLoad) {
 	b.setLimits(now, loads.Service, loads.Limits)
