proxy: streams go on at engines whose report is missing, slow or malformed

Cause: a resumption is sent only on a connection on which the engine has told its start time; an engine whose report cannot be used took no resumption at all, though new streams were served there, and each try counted against it as not reached. The failure does not count against the engine. What may be relied on: a start that the engine tells is compared, always; one that it does not tell is taken from its announcement, so a process that started again under the ID with another version and gives no report can still be mistaken. What the build before does: nothing changes on the wire.

--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -39,12 +39,13 @@
 	return fmt.Sprintf("status %d", e.Status)
 }
 
-// ErrUnsent means that no byte of the request was written.
-var ErrUnsent = errors.New("nothing was sent to the endpoint")
-
 var (
+	// ErrUnsent means that no byte of the request was written.
+	ErrUnsent = errors.New("nothing was sent to the endpoint")
+	// ErrConnectionEnds means that a query was answered, but nothing more can be sent on its connection.
+	ErrConnectionEnds = errors.New("the connection ends with the answer")
+
 	errSkippedTooLarge = errors.New("the body to be skipped is too large")
-	errConnectionEnds  = errors.New("the connection ends with the answer")
 )
 
 type (
@@ -235,7 +236,7 @@
 	case resp.StatusCode != http.StatusOK:
 		err = &StatusError{resp.StatusCode}
 	case resp.Close || answer.FramingOf(resp) == answer.FramedByConnection || !call.stopCancel():
-		err = errConnectionEnds
+		err = ErrConnectionEnds
 	}
 	if err != nil {
 		call.Abort()
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -235,8 +235,11 @@
 		}
 	}
 	if order.ProveStart {
-		if err := p.proveStart(ctx, conn, order.StartedAtMS); err != nil {
+		if err := p.proveStart(ctx, conn, ep); err != nil {
 			_ = conn.Close()
+			if errors.Is(err, errStartUntold) {
+				return decline(detour.Unwilling, err.Error())
+			}
 			return decline(detour.Unreached, err.Error())
 		}
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -223,7 +223,7 @@
 func (req *request) sendOn(conn *egress.Conn, choice place.Choice, after string) (exchange, error) {
 	p, ctx := req.proxy, req.httpReq.Context()
 	if req.mustProveStart() {
-		if err := p.proveStart(ctx, conn, choice.StartedAtMS); err != nil {
+		if err := p.proveStart(ctx, conn, startOf(choice)); err != nil {
 			_ = conn.Close()
 			return nil, err
 		}
@@ -334,8 +334,8 @@
 // handleUnsent handles an attempt for which nothing was sent.
 func (req *request) handleUnsent(choice place.Choice, err error) attemptResult {
 	outcome := place.ConnectFailed
-	if req.proxy.links.isCut(req.proxy.opt.Now()) {
-		// The failure says nothing about the endpoint.
+	if req.proxy.links.isCut(req.proxy.opt.Now()) || errors.Is(err, errStartUntold) {
+		// The failure says nothing about whether the endpoint runs.
 		outcome = place.Withdrawn
 	}
 	req.proxy.opt.Chooser.RecordOutcome(req.attemptID, outcome)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -118,6 +118,8 @@
 		// limitTexts and brittleTexts hold the limit and the brittleness that each endpoint named last, as it sent them, by notice.Start.
 		limitTexts   sync.Map
 		brittleTexts sync.Map
+		// startsUntold holds when engines were last asked for their start time in vain, by notice.Start.
+		startsUntold sync.Map
 		// crashesSeen is the number of crashes reported, heldRequests that of requests refused for a part of their prompt.
 		crashesSeen  atomic.Int64
 		heldRequests atomic.Int64
@@ -230,7 +232,7 @@
 	})
 	p.notices.Prune(now, endpoints)
 	p.parts.prune(now, p.opt.View())
-	for _, texts := range []*sync.Map{&p.limitTexts, &p.brittleTexts} {
+	for _, texts := range []*sync.Map{&p.limitTexts, &p.brittleTexts, &p.startsUntold} {
 		texts.Range(func(key, _ any) bool {
 			if ep, ok := key.(notice.Start); ok && endpoints[ep.ID].StartedAtMS != ep.StartedAtMS {
 				texts.Delete(key)
