--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,6 +39,8 @@
 const (
 	// readHeaderTimeout bounds the time to read a request header.
 	readHeaderTimeout = 5 * time.Second
+	// acceptLogInterval is the minimum time between two log lines about connections that a listener could not accept.
+	acceptLogInterval = 10 * time.Second
 	// idleTimeout is longer than callers keep connections idle.
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds the header of a caller's request.
@@ -313,6 +315,7 @@
 		if err != nil {
 			return fault.Wrap("listen", addrs[served.name].String(), err)
 		}
+		l = conns.RetryAccept(l, r.newAcceptLogger(served.name))
 		served.listener = l
 		switch served.name {
 		case "callers":
@@ -324,6 +327,17 @@
 	return nil
 }
 
+// newAcceptLogger returns a function that logs connections that a listener could not accept, at most one line in acceptLogInterval.
+func (r *Router) newAcceptLogger(listener string) func(error) {
+	var loggedAt time.Time
+	return func(err error) {
+		if now := clock.Now(); now.Sub(loggedAt) >= acceptLogInterval {
+			loggedAt = now
+			r.log.Warn("connection not accepted", zap.String("name", listener), zap.Error(err))
+		}
+	}
+}
+
 // Run serves until ctx ends or a part fails, then stops the instance. After ctx ended it stops gracefully, within the
 // grace time of the settings. It returns the error of the part that failed.
 func (r *Router) Run(ctx context.Context) error {
