--- a/internal/place/release_test.go
+++ b/internal/place/release_test.go
@@ -66,7 +66,7 @@
 }
 
 // send sends a request and returns the number of shared tokens that its engine had to read, and whether it was sent to an engine that
-// leaves. An engine fetches what the one that it is told of has.
+// leaves. An engine fetches what the engine named in the choice has.
 func (r *release) send(n, prompt int) (read int, leaving bool) {
 	id := fmt.Sprint(n)
 	choice, ok := r.b.Place(r.now, Request{
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -61,7 +61,7 @@
 		Build string `json:"build,omitempty"`
 		// LatencyTarget is the latency objective.
 		LatencyTarget time.Duration `json:"target"`
-		// GapTarget is the largest time between the events of a stream that is on time, or 0 if there is none or it is not told.
+		// GapTarget is the largest time between the events of a stream that is on time, or 0 if there is none or it is unknown.
 		GapTarget time.Duration `json:"gap,omitempty"`
 		// TimeLeft is the time until the caller's deadline.
 		TimeLeft time.Duration `json:"left"`
