picker, place: a new leader binds streams of older entries that began before it was elected

Cause: a new leader hears of attempts in progress without their first answers, and of those that broke off before the entry's first request to it not at all; it took both for requests that no endpoint had answered. Change: a broken attempt that an entry reported, or that was bound, counts as begun where the version is known. In the first second of an entry, a request with endpoints to avoid is bound to their version; if they are of several, it goes nowhere. Only requests of builds that do not bind streams themselves; no message changes. Ruled out: a rule for all retries of older entries, as most of them have not begun and may go to any version.

--- a/internal/picker/older_build_test.go
+++ b/internal/picker/older_build_test.go
@@ -66,26 +66,39 @@
 	})
 }
 
+// leaderOf returns the server of a leader that knows endpoints e0, e1 and so on of the given software versions.
+func leaderOf(builds []string, now func() time.Time) *Server {
+	view := newView(len(builds))
+	for i, build := range builds {
+		ep := view.Endpoints[fmt.Sprint("e", i)]
+		ep.Build = build
+		view.Endpoints[ep.ID] = ep
+	}
+	return NewServer(ServerOptions{
+		View: func() *ctrl.View { return view }, IsLeader: func() bool { return true }, Engines: fakeEngines{}, Now: now, Log: zap.NewNop(),
+	})
+}
+
+// goOnAfter reports events to a leader and asks for an endpoint other than the excluded ones for attempt a/2.
+func goOnAfter(s *Server, events []place.Event, binds bool, excluded ...string) LeaderReply {
+	reply, err := s.Serve(context.Background(), LeaderRequest{
+		Entry: "x", Boot: "1", BindsStreams: binds, Events: events,
+		Request: &place.Request{AttemptID: "a/2", Service: "s", ExcludedIDs: excluded, TimeLeft: time.Minute},
+	})
+	So(err, ShouldBeNil)
+	return reply
+}
+
 // TestStreamOfOlderEntryIsBoundByLeader guards against streams that an entry instance of a build without software versions has go on at
 // another version although the leader knows it, or at any while it does not.
 func TestStreamOfOlderEntryIsBoundByLeader(t *testing.T) {
 	goOn := func(builds []string, first string, binds bool) LeaderReply {
-		view := newView(len(builds))
-		for i, build := range builds {
-			ep := view.Endpoints[fmt.Sprint("e", i)]
-			ep.Build = build
-			view.Endpoints[ep.ID] = ep
-		}
-		s := NewServer(ServerOptions{
-			View: func() *ctrl.View { return view }, IsLeader: func() bool { return true }, Engines: fakeEngines{}, Now: time.Now, Log: zap.NewNop(),
-		})
-		reply, err := s.Serve(context.Background(), LeaderRequest{Entry: "x", Boot: "1", Sequence: 1, BindsStreams: binds, Events: []place.Event{
+		s := leaderOf(builds, time.Now)
+		return goOnAfter(s, []place.Event{
 			{AttemptID: "a/1", Start: &place.Request{AttemptID: "a/1", Service: "s", TimeLeft: time.Minute}, EndpointID: first},
 			{AttemptID: "a/1", FirstAnswer: time.Millisecond},
 			{AttemptID: "a/1", Outcome: place.ConnectionLost},
-		}, Request: &place.Request{AttemptID: "a/2", Service: "s", ExcludedIDs: []string{first}, TimeLeft: time.Minute}})
-		So(err, ShouldBeNil)
-		return reply
+		}, binds, first)
 	}
 	builds := []string{"v1", "v1", "v2", "v2"}
 	Convey("the leader binds it", t, func() {
@@ -102,3 +115,60 @@
 		So(goOn([]string{"v1", "v2"}, "e0", true).Choice.Build, ShouldEqual, "v2")
 	})
 }
+
+// TestStreamOfOlderEntryIsBoundByNewLeader guards against streams that an entry instance of a build without software versions has go on at
+// another version because the leader was elected after they began: the entry reports them without their first answers, and not at all
+// if they broke off before.
+func TestStreamOfOlderEntryIsBoundByNewLeader(t *testing.T) {
+	builds := []string{"v1", "v1", "v2", "v2"}
+	Convey("a stream that broke off after its entry reported it keeps its version", t, func() {
+		for i, build := range builds {
+			first := fmt.Sprint("e", i)
+			now := time.Unix(1000, 0)
+			s := leaderOf(builds, func() time.Time { return now })
+			_, err := s.Serve(context.Background(), LeaderRequest{Entry: "x", Boot: "1", Events: []place.Event{
+				{AttemptID: "a/1", Start: &place.Request{AttemptID: "a/1", Service: "s", TimeLeft: time.Minute}, EndpointID: first},
+			}})
+			So(err, ShouldBeNil)
+			now = now.Add(2 * time.Second)
+			reply := goOnAfter(s, []place.Event{{AttemptID: "a/1", Outcome: place.ConnectionLost}}, false, first)
+			So(reply.Found, ShouldBeTrue)
+			So(reply.Choice.Build, ShouldEqual, build)
+		}
+	})
+	Convey("a stream that broke off before keeps its version, also if it breaks off once more", t, func() {
+		for i, build := range builds {
+			now := time.Unix(1000, 0)
+			first, other := fmt.Sprint("e", i), fmt.Sprint("e", i^1)
+			s := leaderOf(builds, func() time.Time { return now })
+			reply := goOnAfter(s, nil, false, first)
+			So(reply.Found, ShouldBeTrue)
+			So(reply.Choice.ID, ShouldEqual, other)
+			now = now.Add(2 * time.Second)
+			reply = goOnAfter(s, []place.Event{{AttemptID: "a/2", Outcome: place.ConnectionLost}}, false)
+			So(reply.Found, ShouldBeTrue)
+			So(reply.Choice.Build, ShouldEqual, build)
+		}
+	})
+	Convey("it goes on nowhere if its version is not clear, for a second", t, func() {
+		now := time.Unix(1000, 0)
+		s := leaderOf(builds, func() time.Time { return now })
+		So(goOnAfter(s, nil, false, "e0", "e2").Found, ShouldBeFalse)
+		now = now.Add(time.Second)
+		So(goOnAfter(s, nil, false, "e0", "e2").Found, ShouldBeTrue)
+	})
+	Convey("a request that the leader placed, and no endpoint answered, may go anywhere", t, func() {
+		now := time.Unix(1000, 0)
+		s := leaderOf([]string{"v1", "v2"}, func() time.Time { return now })
+		So(goOnAfter(s, nil, false).Found, ShouldBeTrue)
+		now = now.Add(2 * time.Second)
+		first := goOnAfter(s, nil, false).Choice.ID
+		reply := goOnAfter(s, []place.Event{{AttemptID: "a/2", Outcome: place.ConnectionLost}}, false, first)
+		So(reply.Found, ShouldBeTrue)
+		So(reply.Choice.ID, ShouldNotEqual, first)
+	})
+	Convey("endpoints of unknown version, and entries that bind streams, are not held back", t, func() {
+		So(goOnAfter(leaderOf([]string{"", ""}, time.Now), nil, false, "e0").Found, ShouldBeTrue)
+		So(goOnAfter(leaderOf([]string{"v1", "v2"}, time.Now), nil, true, "e0").Found, ShouldBeTrue)
+	})
+}
--- a/internal/picker/server.go
+++ b/internal/picker/server.go
@@ -32,6 +32,9 @@
 	// reports.
 	loadsIntervalPerEntry = 8 * time.Millisecond
 	maxLoadsInterval      = 2500 * time.Millisecond
+	// unreportedFor is the time after the first request of an entry instance in which it may go on with streams that broke off before, of
+	// which a new leader has not heard.
+	unreportedFor = time.Second
 	// maxCacheQueries is the maximum number of concurrent cache queries to engines.
 	maxCacheQueries = 64
 	// cacheQueryTimeout is the timeout of a cache query to an engine.
@@ -88,6 +91,8 @@
 	// entryState is what the leader remembers of an entry instance since its last start.
 	entryState struct {
 		boot string
+		// since is the time of the first request.
+		since time.Time
 		// recent holds the sequence numbers of the latest requests, each at the index of its number modulo dedupWindow.
 		recent [dedupWindow]uint64
 		// loadsSentAt is the time of the last load report by service.
@@ -147,6 +152,13 @@
 		return true
 	}
 	build, begun := s.balancer.BegunBuild(now, req.Request.AttemptID)
+	if !begun && now.Sub(s.entries[req.Entry].since) < unreportedFor {
+		// The endpoints to avoid are those at which the stream broke off, if it did, and some that take no requests.
+		builds := s.balancer.EngineBuilds(req.Request.ExcludedIDs)
+		if begun = len(builds) > 0; len(builds) == 1 {
+			build = builds[0]
+		}
+	}
 	req.Request.Build = build
 	return !begun || build != ""
 }
@@ -180,7 +192,7 @@
 		if entry != nil {
 			s.balancer.EndEntry(now, req.Entry)
 		}
-		entry = &entryState{boot: req.Boot, loadsSentAt: map[string]time.Time{}}
+		entry = &entryState{boot: req.Boot, since: now, loadsSentAt: map[string]time.Time{}}
 		s.entries[req.Entry] = entry
 	}
 	slot := &entry.recent[req.Sequence%dedupWindow]
--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -70,6 +70,8 @@
 		// the latency model.
 		engineWasIdle bool
 		answered      bool
+		// reported is set if the entry instance reported the start, as it chose the endpoint or an earlier leader did.
+		reported bool
 		// late is set once the attempt was counted as a failure for being late.
 		late bool
 	}
@@ -405,7 +407,7 @@
 	if e.Start != nil {
 		b.Cancel(e.AttemptID)
 		if ep := b.endpoints[e.EndpointID]; ep != nil {
-			b.addAttempt(now, ep, *e.Start, b.locatePrompt(now, e.Start))
+			b.addAttempt(now, ep, *e.Start, b.locatePrompt(now, e.Start)).reported = true
 		}
 	}
 	ep := b.byAttempt[e.AttemptID]
--- a/internal/place/begun.go
+++ b/internal/place/begun.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -26,11 +27,22 @@
 	return stream.build, true
 }
 
+// EngineBuilds returns the known software versions of engines, each once.
+func (b *Balancer) EngineBuilds(ids []string) (builds []string) {
+	for _, id := range ids {
+		ep := b.endpoints[id]
+		if ep != nil && ep.isEngine && ep.info.Build != "" && !slices.Contains(builds, ep.info.Build) {
+			builds = append(builds, ep.info.Build)
+		}
+	}
+	return builds
+}
+
 // recordBegun remembers the version of an engine whose stream broke off after its first event. One that was remembered before stays, as
 // the stream began there.
 func (b *Balancer) recordBegun(now time.Time, ep *endpoint, a *attempt, outcome Outcome) {
 	broken := outcome == ConnectionLost || outcome == TimedOut || outcome == Failed
-	if !broken || !a.answered || !ep.isEngine || len(b.begun) >= maxBegun {
+	if !broken || !ep.isEngine || !a.mayHaveBegun(ep.info.Build) || len(b.begun) >= maxBegun {
 		return
 	}
 	id := callerRequest(a.req.AttemptID)
@@ -39,6 +51,13 @@
 	}
 }
 
+// mayHaveBegun reports whether the caller may have events of the stream of an attempt at an endpoint of a software version. The first
+// answer of an attempt that was reported may have been told to an earlier leader; an attempt that was bound to a version goes on with a
+// stream.
+func (a *attempt) mayHaveBegun(build string) bool {
+	return a.answered || build != "" && (a.reported || a.req.Build != "")
+}
+
 func (b *Balancer) pruneBegun(now time.Time) {
 	maps.DeleteFunc(b.begun, func(_ string, begun begunStream) bool { return !now.Before(begun.until) })
 }
