rig: data of instances under test is in memory

Cause: the disk, not the processor. An instance waits until the disk has synced what it acknowledges; with other processes writing much, a sync takes seconds. Beside four processes that write and sync 700 MB again and again (pressure of I/O 40%), with an idle processor, TestCrashingPartTakesEndpointsDown failed with no replica answering an operator within 30 s, as listed, and TestCrashAtEachClaimStep and TestRefusedRequestThatRan as well. Change: fleets of tests keep settings and data in a file system in memory where there is one with space. A killed process loses nothing there either, so that the tests check the same; what a disk loses is tested in internal/store with a model of it. A fleet's data takes 0.1 MB.

--- a/internal/live/fleet_test.go
+++ b/internal/live/fleet_test.go
@@ -64,7 +64,10 @@
 }
 
 func newFleetWith(t *testing.T, opt rig.Options) *fleet {
-	opt.BinDir, opt.Dir, opt.ExtraSettings = binDir, t.TempDir(), limitSettings+opt.ExtraSettings
+	dir, err := rig.TempDir()
+	must(t, err)
+	t.Cleanup(func() { must(t, os.RemoveAll(dir)) })
+	opt.BinDir, opt.Dir, opt.ExtraSettings = binDir, dir, limitSettings+opt.ExtraSettings
 	r, err := rig.New(opt)
 	must(t, err)
 	f := &fleet{Rig: r, t: t}
