proxy: the test of cut instances tells its own delay from the machine's

Evidence: on a quiet machine 1 to 7 ms. With 100 copies of the test at once 6 to 16 of 200 failed with 207 to 335 ms, whether connections were refused or silent, with the cut known and no connection of its own tried: the processor. Another check in the same runs failed with 502 (12 of 200): its closed port was taken by another process. Change: the bound of 200 ms holds for what a cut instance adds to requests of an instance that reaches endpoints, at the same moment; a cut instance must not try connections of its own meanwhile, which depends on no clock; closed ports are on a host of the process itself.

--- a/internal/proxy/detour_test.go
+++ b/internal/proxy/detour_test.go
@@ -100,6 +100,17 @@
 	}
 }
 
+// longestDirect returns the longest time that one of some requests takes at an instance whose links are up: what the machine, if other
+// processes keep it busy, adds to any request.
+func longestDirect(h *harness) (longest time.Duration) {
+	for range 5 {
+		began := time.Now()
+		So(h.send(http.MethodPost, "/repeat/", "x").status, ShouldEqual, http.StatusOK)
+		longest = max(longest, time.Since(began))
+	}
+	return longest
+}
+
 // TestCutInstanceFailsCallers guards against callers of an instance that does not reach endpoints, while another one does, getting
 // anything else than the answer of the endpoint.
 func TestCutInstanceFailsCallers(t *testing.T) {
@@ -111,14 +122,18 @@
 				}
 				return echo(req, c)
 			}, echo)
+			direct := newHarness(t, echo)
 			p.links.state.Store(state)
 			p.cut(state)
 			for _, target := range []string{"/repeat/a?b=%20c", "/once/a", "/public/"} {
+				byMachine, dials := longestDirect(direct), p.links.dials.Load()
 				began := time.Now()
 				resp := p.send(http.MethodPost, target, "body")
+				took := time.Since(began)
 				So(resp.status, ShouldEqual, http.StatusOK)
 				So(resp.body, ShouldEqual, "echo body")
-				So(time.Since(began), ShouldBeLessThan, 200*time.Millisecond)
+				So(p.links.dials.Load(), ShouldEqual, dials)
+				So(took-max(byMachine, longestDirect(direct)), ShouldBeLessThan, 200*time.Millisecond)
 			}
 			last := p.chooser.endpoints[0].requests()
 			So(last[len(last)-1].Header.Get("Key"), ShouldBeEmpty)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -26,6 +26,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/origin"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/internal/retry"
+	"github.com/greengagewheel/greengagewheel/internal/rig"
 	"github.com/greengagewheel/greengagewheel/internal/roster"
 	"github.com/greengagewheel/greengagewheel/pkg/table"
 )
@@ -154,14 +155,13 @@
 	}
 }
 
-// closedAddr returns an address at which nothing listens.
+// closedAddr returns an address at which nothing listens. Its host is that of this process, so that no other one takes the port.
 func closedAddr(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := rig.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = l.Close()
-	return mustAddr(l.Addr().String())
+	return addr
 }
 
 func (e *fakeEndpoint) requests() []receivedRequest {
