rig, Makefile: the folder for data of fleets under test comes from the environment

Now make test names the folder in GREENGAGEWHEEL_TEST_DATA if the system has one; without it, or without space there, data is in the default folder as before. Programs stay in the default folder, as a file system in memory may not allow to run them. Checked: TestDataIsOnSlowDisk.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,9 @@
 # Tests that are listed as failing for a known fault, one "test: NAME" a line; only these are passed over.
 RED = $(shell sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 
+# Folder in memory for the data of fleets under test: they wait for each sync of a disk that others may keep busy.
+DATA = $(wildcard /dev/shm)
+
 .PHONY: build lint fmt test shares slopes bench
 
 build:
@@ -19,7 +22,7 @@
 
 test:
 	@if [ -n "$(RED)" ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
-	$(GO) test -count=1 $(if $(RED),-skip '^($(RED))$$') ./...
+	GREENGAGEWHEEL_TEST_DATA=$(DATA) $(GO) test -count=1 $(if $(RED),-skip '^($(RED))$$') ./...
 
 slopes:
 	$(GO) run ./cmd/bench slopes
--- a/internal/rig/dir.go
+++ b/internal/rig/dir.go
@@ -8,16 +8,17 @@
 )
 
 const (
-	// memoryDir is where Linux has a file system in memory.
-	memoryDir = "/dev/shm"
-	// minFreeBytes is the space that a rig's data may need, in bytes.
-	minFreeBytes = 1 << 30
+	// dataVariable is the environment variable that names the folder for the data of rigs.
+	dataVariable = "GREENGAGEWHEEL_TEST_DATA"
+	// minFreeBytes is the space that the data of some rigs may need, in bytes.
+	minFreeBytes = 32 << 20
 )
 
-// TempDir creates a folder for the settings and data of instances, which the caller removes. It is in memory if there is a file system for
-// that, as instances wait until the disk has synced what they acknowledge, for many seconds if other processes write much.
+// TempDir creates a folder for the settings and data of instances, which the caller removes. It is in the folder that the environment
+// variable GREENGAGEWHEEL_TEST_DATA names, if that has space; the test command names one in memory. Instances wait until the disk has synced
+// what they acknowledge, for many seconds if other processes write much.
 func TempDir() (string, error) {
-	dir, err := os.MkdirTemp(tempRoot(memoryDir), "rig")
+	dir, err := os.MkdirTemp(tempRoot(os.Getenv(dataVariable)), "rig")
 	return dir, fault.Wrap("create folder", "rig", err)
 }
 
--- a/internal/rig/dir_test.go
+++ b/internal/rig/dir_test.go
@@ -10,15 +10,22 @@
 
 // TestDataIsOnSlowDisk guards against tests that fail because other processes keep the disk busy, which instances wait for.
 func TestDataIsOnSlowDisk(t *testing.T) {
-	Convey("folders are in memory where there is space", t, func() {
-		So(tempRoot(t.TempDir()), ShouldNotBeEmpty)
-		So(tempRoot(filepath.Join(t.TempDir(), "missing")), ShouldBeEmpty)
+	create := func() string {
 		dir, err := TempDir()
 		So(err, ShouldBeNil)
-		defer func() { _ = os.RemoveAll(dir) }()
-		if root := tempRoot(memoryDir); root != "" {
-			So(filepath.Dir(dir), ShouldEqual, root)
-		}
+		t.Cleanup(func() { _ = os.RemoveAll(dir) })
 		So(os.WriteFile(filepath.Join(dir, "x"), nil, fileMode), ShouldBeNil)
+		return filepath.Dir(dir)
+	}
+	Convey("data is in the folder that the environment names", t, func() {
+		root := t.TempDir()
+		t.Setenv(dataVariable, root)
+		So(create(), ShouldEqual, root)
+	})
+	Convey("it is in the default folder if that one is missing, or none is named", t, func() {
+		t.Setenv(dataVariable, filepath.Join(t.TempDir(), "missing"))
+		So(create(), ShouldEqual, filepath.Clean(os.TempDir()))
+		t.Setenv(dataVariable, "")
+		So(create(), ShouldEqual, filepath.Clean(os.TempDir()))
 	})
 }
