place: an engine that was silent for a second gets its share at once

What callers saw: after an engine was silent for 1.2 s, it got 0 to 2 of the 27, 73 and 163 requests that its share would be in the next second (9 engines, a third silent in turns, 15, 40 and 80 requests a second), and its cache was not used; the others had its load. Cause: each request that had waited counted as an answer of a slow engine, with a half-life of 4 s, and as a failure for being late. The leader alone decides; no message changes.

--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -40,12 +40,6 @@
 	failurePenalty = 400 * time.Millisecond
 	// failureHalfLife is the half-life of the failure count.
 	failureHalfLife = 2 * time.Second
-	// maxSlowFactor bounds the slow factor of an endpoint, the ratio of measured to expected latency.
-	maxSlowFactor = 16
-	// slowFactorWeight is the weight of the newest sample in the moving average of the slow factor.
-	slowFactorWeight = 0.3
-	// slowFactorHalfLife is the half-life of the slow factor's excess over 1 while no answers arrive.
-	slowFactorHalfLife = 4 * time.Second
 	// attemptGrace is the time after the caller's deadline at which an attempt without a reported end is removed.
 	attemptGrace = 2 * time.Second
 	// lateFactor is the multiple of the expected latency after which an unanswered attempt counts as a failure of its endpoint.
@@ -100,10 +94,11 @@
 		failures   float64
 		failuresAt time.Time
 		// lostAt is when the endpoint last broke off or refused a connection, or zero if it was heard of since.
-		lostAt time.Time
-		// slowFactor is the moving average of the ratio of measured to expected latency as of slowFactorAt; at least 1.
-		slowFactor   float64
-		slowFactorAt time.Time
+		lostAt   time.Time
+		slowness slowness
+		// silentFailures is the part of the failure count for attempts that became late since the last first answer, as of silentFailuresAt.
+		silentFailures   float64
+		silentFailuresAt time.Time
 		// limit is the limit that the endpoint names, or nil.
 		limit *rateLimit
 		// brittle is set if the endpoint says that it falls over when it turns away many requests.
@@ -152,7 +147,7 @@
 	for id, info := range eps {
 		ep := b.endpoints[id]
 		if ep == nil {
-			ep = &endpoint{attempts: map[string]*attempt{}, slowFactor: 1, idHash: xxhash.Sum64String(id)}
+			ep = &endpoint{attempts: map[string]*attempt{}, slowness: newSlowness(), idHash: xxhash.Sum64String(id)}
 			b.endpoints[id] = ep
 			added = append(added, ep)
 		}
@@ -359,7 +354,7 @@
 // cost returns the cost of choosing an endpoint, expressed as latency.
 func (b *Balancer) cost(now time.Time, ep *endpoint, req *Request, loc promptLocation) time.Duration {
 	prefillTokens, fetchTokens, _ := ep.prefillWork(req, loc)
-	total := time.Duration(float64(ep.expectedLatency(now, prefillTokens, fetchTokens)) * ep.recentSlowFactor(now))
+	total := time.Duration(float64(ep.expectedLatency(now, prefillTokens, fetchTokens)) * ep.slowness.recent(now))
 	if ep.isEngine {
 		total += othersCostFactor*ep.latency.prefillTime(prefillTokens) +
 			time.Duration(fetchCostFactor*float64(ep.latency.prefillTime(fetchTokens)))
@@ -380,7 +375,28 @@
 
 // recentFailures returns the failure count of the endpoint, decayed to the present.
 func (ep *endpoint) recentFailures(now time.Time) float64 {
-	return ep.failures * math.Exp2(-now.Sub(ep.failuresAt).Seconds()/failureHalfLife.Seconds())
+	return decayed(ep.failures, now.Sub(ep.failuresAt))
+}
+
+// addLate counts a failure for an attempt that is late.
+func (ep *endpoint) addLate(now time.Time) {
+	ep.silentFailures = decayed(ep.silentFailures, now.Sub(ep.silentFailuresAt)) + 1
+	ep.silentFailuresAt = now
+	ep.addFailures(now, 1)
+}
+
+// forgiveSilence takes back the failures of attempts that became late while nothing came from the endpoint, as it answers again. An
+// endpoint that is slow for its load answers others meanwhile.
+func (ep *endpoint) forgiveSilence(now time.Time) {
+	if ep.silentFailures > 0 {
+		ep.failures = max(0, ep.recentFailures(now)-decayed(ep.silentFailures, now.Sub(ep.silentFailuresAt)))
+		ep.failuresAt, ep.silentFailures = now, 0
+	}
+}
+
+// decayed returns what is left of a failure count after some time.
+func decayed(failures float64, elapsed time.Duration) float64 {
+	return failures * math.Exp2(-elapsed.Seconds()/failureHalfLife.Seconds())
 }
 
 func (ep *endpoint) addFailures(now time.Time, count float64) {
@@ -388,11 +404,6 @@
 	ep.failuresAt = now
 }
 
-// recentSlowFactor returns the slow factor of the endpoint, decayed to the present.
-func (ep *endpoint) recentSlowFactor(now time.Time) float64 {
-	return 1 + (ep.slowFactor-1)*math.Exp2(-now.Sub(ep.slowFactorAt).Seconds()/slowFactorHalfLife.Seconds())
-}
-
 // Apply applies an event: the limit or the brittleness of an endpoint, or of an attempt its start at an endpoint chosen elsewhere, its first answer or
 // its end.
 func (b *Balancer) Apply(now time.Time, e Event) {
@@ -453,6 +464,7 @@
 	}
 	a.answered = true
 	ep.lostAt = time.Time{}
+	ep.forgiveSilence(now)
 	ep.pendingPrefillTokens -= a.prefillTokens
 	if ep.isEngine {
 		// The first answer follows the end of the prefill by the base delay.
@@ -462,9 +474,7 @@
 		}
 	}
 	if a.expectedLatency > 0 {
-		ratio := min(max(ep.latency.relativeLatency(latency, a.expectedLatency), 1), maxSlowFactor)
-		ep.slowFactor = ep.recentSlowFactor(now)*(1-slowFactorWeight) + ratio*slowFactorWeight
-		ep.slowFactorAt = now
+		ep.slowness.add(now, a.startedAt, ep.latency.relativeLatency(latency, a.expectedLatency))
 	}
 }
 
@@ -504,7 +514,7 @@
 			}
 			if !a.answered && !a.late && age > max(minLateAfter, lateFactor*a.expectedLatency) {
 				a.late = true
-				ep.addFailures(now, 1)
+				ep.addLate(now)
 			}
 		}
 	}
