--- a/internal/place/silence_test.go
+++ b/internal/place/silence_test.go
@@ -24,18 +24,18 @@
 // its silence.
 type silencePlay struct {
 	balancer *Balancer
-	// slow is the factor by which the answers of engine e0 are late, in play all the time.
+	// slow is the factor by which the answers of engine e0 take longer in the whole play, or 0.
 	slow float64
 	// chosenAfter counts, for the engines that were silent, the requests placed in the second after each silence, and fairShare
 	// how many they would be with an equal share.
 	chosenAfter, fairShare float64
-	// slowChosen counts the requests placed at e0 in slowWindow, total all requests.
+	// chosen counts all requests by engine.
 	chosen map[string]int
 	// maxBaseDelay is the highest estimate of the base delay a second after a silence or later, before the next.
 	maxBaseDelay time.Duration
 }
 
-// silentUntil returns the end of the silence in which an engine is at a time, or 0.
+// silentUntil returns when the silence of an engine at a time ends, or 0 if it is not silent then.
 func silentUntil(engine int, at time.Duration) time.Duration {
 	if at < silenceStart {
 		return 0
@@ -48,7 +48,7 @@
 	return 0
 }
 
-// sinceSilence returns the time since the end of the last silence, and which it was; it is negative before.
+// sinceSilence returns the time since the end of the silence of the current period, and its number. It is negative before that end.
 func sinceSilence(at time.Duration) (time.Duration, int) {
 	n := int((at - silenceStart) / silencePeriod)
 	if at < silenceStart || n >= silences {
@@ -124,11 +124,11 @@
 		Convey(fmt.Sprint("an engine that is slow all the time gets little, at requests a second of ", rate), t, func() {
 			p := &silencePlay{slow: 8}
 			p.run(rate, false)
-			fair := 0
+			total := 0
 			for _, n := range p.chosen {
-				fair += n
+				total += n
 			}
-			fair /= silentEngines
+			fair := total / silentEngines
 			t.Logf("rate %v: %d of %d", rate, p.chosen["e0"], fair)
 			So(p.chosen["e0"], ShouldBeLessThan, fair/3)
 		})
--- a/internal/place/steady_test.go
+++ b/internal/place/steady_test.go
@@ -25,7 +25,9 @@
 )
 
 type (
-	// chatClass is a class of requests in a simulated load.
+	// chatClass is a class of requests in a simulated load. A prompt has sharedTokens tokens in common with others about the same of
+	// things things, and ownTokens on average, lognormal with ownSpread. A stream is to begin within target and to pause for gap at most,
+	// and lasts for length.
 	chatClass struct {
 		perSecond, sharedTokens int
 		ownTokens               float64
@@ -58,9 +60,18 @@
 
 // chatClasses are short chats with a tight objective for pauses, drafts, and reviews of long prompts.
 var chatClasses = [3]chatClass{
-	{143, 170, 543, 0.9, 800, steadyGap, time.Second, 1400 * time.Millisecond},
-	{150, 570, 1800, 1.0, 1200, 500 * time.Millisecond, time.Second, 100 * time.Millisecond},
-	{152, 6300, 2890, 1.0, 660, 1200 * time.Millisecond, 1500 * time.Millisecond, 250 * time.Millisecond},
+	{
+		perSecond: 143, sharedTokens: 170, ownTokens: 543, ownSpread: 0.9, things: 800,
+		gap: steadyGap, target: time.Second, length: 1400 * time.Millisecond,
+	},
+	{
+		perSecond: 150, sharedTokens: 570, ownTokens: 1800, ownSpread: 1.0, things: 1200,
+		gap: 500 * time.Millisecond, target: time.Second, length: 100 * time.Millisecond,
+	},
+	{
+		perSecond: 152, sharedTokens: 6300, ownTokens: 2890, ownSpread: 1.0, things: 660,
+		gap: 1200 * time.Millisecond, target: 1500 * time.Millisecond, length: 250 * time.Millisecond,
+	},
 }
 
 // playChats plays the load of the classes on 60 engines for 20 s and counts from the eighth second on.
