place, picker: only versions of the request's own service bind older entries

Found on reading: an entry of an older build names endpoints of all services that leave or pause among those to avoid, so that in the second after an election a request could be refused for the versions of another service's engines. Requests of builds that bind streams themselves do not come here. Checked: the new part of TestStreamOfOlderEntryIsBoundByNewLeader failed before.

--- a/internal/picker/older_build_test.go
+++ b/internal/picker/older_build_test.go
@@ -17,6 +17,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
 	"github.com/greengagewheel/greengagewheel/internal/place"
+	"github.com/greengagewheel/greengagewheel/pkg/table"
 )
 
 const testSecret = "secret"
@@ -157,6 +158,16 @@
 		now = now.Add(time.Second)
 		So(goOnAfter(s, nil, false, "e0", "e2").Found, ShouldBeTrue)
 	})
+	Convey("versions of other services do not matter", t, func() {
+		s := leaderOf(builds, time.Now)
+		view := s.opt.View()
+		engine := &table.Engine{Slots: 64, Tokens: 500_000}
+		view.Table = table.New(&table.Table{Services: []table.Service{{Name: "s", Engine: engine}, {Name: "another", Engine: engine}}})
+		ep := view.Endpoints["e3"]
+		ep.Service = "another"
+		view.Endpoints["e3"] = ep
+		So(goOnAfter(s, nil, false, "e0", "e3").Choice.ID, ShouldEqual, "e1")
+	})
 	Convey("a request that the leader placed, and no endpoint answered, may go anywhere", t, func() {
 		now := time.Unix(1000, 0)
 		s := leaderOf([]string{"v1", "v2"}, func() time.Time { return now })
--- a/internal/picker/server.go
+++ b/internal/picker/server.go
@@ -154,7 +154,7 @@
 	build, begun := s.balancer.BegunBuild(now, req.Request.AttemptID)
 	if !begun && now.Sub(s.entries[req.Entry].since) < unreportedFor {
 		// The endpoints to avoid are those at which the stream broke off, if it did, and some that take no requests.
-		builds := s.balancer.EngineBuilds(req.Request.ExcludedIDs)
+		builds := s.balancer.EngineBuilds(req.Request.Service, req.Request.ExcludedIDs)
 		if begun = len(builds) > 0; len(builds) == 1 {
 			build = builds[0]
 		}
--- a/internal/place/begun.go
+++ b/internal/place/begun.go
@@ -27,11 +27,11 @@
 	return stream.build, true
 }
 
-// EngineBuilds returns the known software versions of engines, each once.
-func (b *Balancer) EngineBuilds(ids []string) (builds []string) {
+// EngineBuilds returns the known software versions of those engines of a service whose IDs are given, each once.
+func (b *Balancer) EngineBuilds(service string, ids []string) (builds []string) {
 	for _, id := range ids {
 		ep := b.endpoints[id]
-		if ep != nil && ep.isEngine && ep.info.Build != "" && !slices.Contains(builds, ep.info.Build) {
+		if ep != nil && ep.isEngine && ep.info.Service == service && ep.info.Build != "" && !slices.Contains(builds, ep.info.Build) {
 			builds = append(builds, ep.info.Build)
 		}
 	}
