place: a fall of a brittle endpoint counts once, and only under requests sent in care of it

The leader's log shows three of eight places in use at each endpoint in the last seconds, with no refusal and no fall: one endpoint had fallen in the first seconds, while the instances learned that it was brittle. Cause: each entry reports the connections that it lost and the refusals that it saw, one entry after the other, so that one fall counted up to three times (0.34 of the room instead of 0.7, at 300 entries 0.3, for 30 s). And a fall under requests that were sent before anyone knew of the brittleness says nothing of the care that began with it. Change: what is reported within 2 s of a fall belongs to it; refusals count for a fall only if the request was sent while the endpoint was known to be brittle. No message changes. Checked: the new parts of TestBrittleness fail before (0.343 instead of 0.7; 0.7 instead of 1); TestInstancesTogetherOverloadBrittleEndpoint passes. With processes: not shown that the cause was the only one.

--- a/internal/place/brittle.go
+++ b/internal/place/brittle.go
@@ -30,7 +30,8 @@
 	fallFactor    = 0.7
 	minFallFactor = 0.3
 	fallMemory    = 30 * time.Second
-	// fallSuspicion is the time after a refusal in which an endpoint that goes down has fallen.
+	// fallSuspicion is the time after a refusal in which an endpoint that goes down has fallen. What is reported so long after a fall
+	// belongs to it.
 	fallSuspicion = 2 * time.Second
 	// defaultServiceTime is the time that a request takes at an endpoint as long as none has ended.
 	defaultServiceTime = 500 * time.Millisecond
@@ -67,6 +68,9 @@
 		top    float64
 		// refusedAt holds the times of the refusals within refusalWindow.
 		refusedAt []time.Time
+		// suspectAt is the time of the last refusal of a request that was sent while the endpoint was known to be brittle, fellAt that of its
+		// last fall.
+		suspectAt, fellAt time.Time
 		// lingering holds the times until which requests count that have ended here.
 		lingering []time.Time
 		// limiter spaces out the requests of an entry instance that chooses alone and whose part of the room is less than one.
@@ -120,6 +124,9 @@
 func (br *brittleness) refused(now, sentAt time.Time, running int) {
 	br.prune(now)
 	br.refusedAt = append(br.refusedAt, now)
+	if !sentAt.Before(br.knownAt) {
+		br.suspectAt = now
+	}
 	if sentAt.After(br.roomAt) {
 		br.room, br.roomAt = max(1, min(br.regained(now), float64(running))-1), now
 	}
@@ -284,8 +291,9 @@
 		br.prune(now)
 		br.lingering = append(br.lingering, now.Add(lingerTime))
 	case ConnectionLost, ConnectFailed:
-		if n := len(br.refusedAt); n > 0 && now.Sub(br.refusedAt[n-1]) <= fallSuspicion {
-			br.refusedAt = nil
+		// All entry instances report the connections that they have lost by one fall.
+		if now.Sub(br.suspectAt) <= fallSuspicion && now.Sub(br.fellAt) > fallSuspicion {
+			br.fellAt = now
 			b.falls[ep.info.Service] = fallRecord{max(minFallFactor, b.fallFactor(now, ep.info.Service)*fallFactor), now}
 		}
 	}
--- a/internal/place/brittle_test.go
+++ b/internal/place/brittle_test.go
@@ -319,6 +319,35 @@
 		So(b.BrittleEndpoints(), ShouldEqual, 2)
 		So(fill(b, now.Add(2*time.Second), "b"), ShouldEqual, 4)
 	})
+	Convey("a fall that entries report one after the other counts once, another one later counts too", t, func() {
+		_, b := newBrittle()
+		report := func(at time.Time, outcome Outcome, n int) {
+			b.Apply(at, Event{AttemptID: fmt.Sprint("a", n, now), Outcome: outcome})
+		}
+		So(fill(b, now, "a"), ShouldEqual, 6)
+		for entry := range 3 {
+			report(now.Add(100*time.Millisecond), Declined, 2*entry)
+			report(now.Add(100*time.Millisecond), ConnectionLost, 2*entry+1)
+		}
+		So(b.fallFactor(now.Add(100*time.Millisecond), "s"), ShouldEqual, fallFactor)
+		now := now.Add(3 * time.Second)
+		before := b.fallFactor(now, "s")
+		for n, outcome := range []Outcome{Declined, ConnectionLost} {
+			id := fmt.Sprint("later", n)
+			b.Apply(now, Event{AttemptID: id, Start: &Request{AttemptID: id, Service: "s", TimeLeft: time.Minute}, EndpointID: "e0"})
+			b.Apply(now.Add(time.Millisecond), Event{AttemptID: id, Outcome: outcome})
+		}
+		So(b.fallFactor(now.Add(time.Millisecond), "s"), ShouldBeLessThan, before*0.8)
+	})
+	Convey("a fall under requests that were sent before the endpoint was known to be brittle does not count", t, func() {
+		f := newBrittleFleet(1, 1, 2)
+		b := f.leader
+		So(fill(b, now.Add(-time.Second), "a"), ShouldEqual, 3*brittleSlots)
+		b.RecordBrittle(now, Brittle{EndpointID: "e0", Refusals: 4})
+		b.Apply(now, Event{AttemptID: fmt.Sprint("a", 0, now.Add(-time.Second)), Outcome: Declined})
+		b.Apply(now, Event{AttemptID: fmt.Sprint("a", 1, now.Add(-time.Second)), Outcome: ConnectionLost})
+		So(b.fallFactor(now, "s"), ShouldEqual, 1)
+	})
 	Convey("what an earlier start said, and what makes no sense, is not taken", t, func() {
 		_, b := newBrittle()
 		So(b.RecordBrittle(now, Brittle{EndpointID: "e1", StartedAtMS: 3, Refusals: 4}), ShouldBeFalse)
