--- a/internal/place/begun.go
+++ b/internal/place/begun.go
@@ -38,8 +38,8 @@
 	return builds
 }
 
-// recordBegun remembers the version of an engine whose stream broke off after its first event. One that was remembered before stays, as
-// the stream began there.
+// recordBegun remembers the version of an engine whose stream broke off after its first event, or may have. One that was remembered
+// before stays, as the stream began there.
 func (b *Balancer) recordBegun(now time.Time, ep *endpoint, a *attempt, outcome Outcome) {
 	broken := outcome == ConnectionLost || outcome == TimedOut || outcome == Failed
 	if !broken || !ep.isEngine || !a.mayHaveBegun(ep.info.Build) || len(b.begun) >= maxBegun {
