review: a crashing prompt part locks out all of its caller's requests

Cause: after three crashes without an answer in between, all leading parts of the prompt are held, and each keeps the others from being tried for two minutes.

--- a/review/stand/case_takeup.go
+++ b/review/stand/case_takeup.go
@@ -23,7 +23,7 @@
 	// calm is the time behind the start of the core after which the machines are in touch again, with a margin.
 	calm = 4 * time.Second
 	// rounds is how often the case is played at most; it ends with the first round that breaks the rule.
-	rounds = 5
+	rounds = 6
 )
 
 // The case "takeup" kills the machine at which streams run, so that their clients take them up at other machines. With the disruption, all
@@ -50,12 +50,7 @@
 			return 0, err
 		}
 	}
-	chat := func(m *machine, deadline time.Duration, header ...string) result {
-		return once(f.frontOf(m), call{
-			method: http.MethodPost, path: "/chat/2f", key: "n2ctnfzs989anu6wsjnb", body: []byte("a question"), deadline: deadline,
-			header: append(header, "Model-Name: m", "Token-Counts: 410,600", fmt.Sprintf("Prompt-Prefix: 5c1e07a2:400,%x:10", 0x10000+lastAttempt.Load())),
-		})
-	}
+	chat := f.chat
 	if err := f.awaitReady(func(m *machine) bool { return chat(m, 300*time.Millisecond).status == http.StatusOK }); err != nil {
 		return 0, err
 	}
--- a/review/stand/common.go
+++ b/review/stand/common.go
@@ -18,7 +18,7 @@
 // Parts of configurations.
 const (
 	configLimits  = `"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}`
-	engineService = `{"name":"asistent","healthPath":"/health","connectionLimit":310,"protocol":"h1","tls":false,"inferenceEngine":{"slots":6,` +
+	engineService = `{"name":"asistent","healthPath":"/health","connectionLimit":310,"protocol":"h1","tls":false,"inferenceEngine":{"slots":48,` +
 		`"kvCapacityTokens":394350,"kvTokenBytes":131072,"linkMbps":740000.0,"moves":true,"backups":true,"stride":6,"most":12,"pinMs":4000.0,` +
 		`"holdMs":2000.0,"kvHandleS":5.0,"models":[{"name":"m"}]}}`
 	streamDocument = `{"version":7,"routes":[{"name":"r-quote","host":"ficu95.example","pathPrefix":"/quote/","kind":"streaming",` +
@@ -39,3 +39,12 @@
 func events(r result) int {
 	return strings.Count(r.body, "data:")
 }
+
+// chat sends a request for a long stream that may be resumed.
+func (f *fleet) chat(m *machine, deadline time.Duration, header ...string) result {
+	return once(f.frontOf(m), call{
+		method: http.MethodPost, path: "/chat/2f", key: "n2ctnfzs989anu6wsjnb", body: []byte("a question"), deadline: deadline,
+		header: append(header, "Model-Name: m", "Token-Counts: 410,600",
+			fmt.Sprintf("Prompt-Prefix: %x:400,%x:10", 0x5c1e0000+lastAttempt.Load()%16, 0x10000+lastAttempt.Load())),
+	})
+}
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -52,6 +53,7 @@
 		cores, edges                []*machine
 		front, ready, control, peer int
 		rec                         *record
+		mu                          sync.Mutex
 		servers                     []*server
 		environment                 []string
 	}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,20 +30,24 @@
 		work func() time.Duration
 		// events is the number of events of a stream; 0 makes the server a plain service.
 		events int
+		// crashOn is a part of a prompt on which the server crashes as it begins to answer; onCrash is called then.
+		crashOn string
+		onCrash func()
 		// repeats reports whether a faulty server sends an answer once more, late: where the next answer on its connection is expected.
 		repeats func() bool
 	}
 
 	// server is a stand-in for a server, as the platform's pages describe it.
 	server struct {
-		opt      serverOptions
-		rec      *record
-		listener net.Listener
-		born     int64
-		slots    chan struct{}
-		inside   atomic.Int64
-		done     chan struct{}
-		doneOnce sync.Once
+		opt       serverOptions
+		rec       *record
+		listener  net.Listener
+		born      int64
+		slots     chan struct{}
+		inside    atomic.Int64
+		done      chan struct{}
+		doneOnce  sync.Once
+		crashOnce sync.Once
 		// silentUntil is the time, in Unix nanoseconds, until which the server sends nothing.
 		silentUntil atomic.Int64
 		mu          sync.Mutex
@@ -74,7 +79,9 @@
 		opt: opt, rec: f.rec, listener: listener, born: time.Now().UnixMilli(), slots: make(chan struct{}, opt.slots),
 		done: make(chan struct{}), runs: map[string]int{}, conns: map[net.Conn]bool{},
 	}
+	f.mu.Lock()
 	f.servers = append(f.servers, s)
+	f.mu.Unlock()
 	go s.accept()
 	go s.sendHeartbeats(f.controls())
 	return s, nil
@@ -91,6 +98,16 @@
 	}
 }
 
+// crash ends the server and calls onCrash, once.
+func (s *server) crash() {
+	s.crashOnce.Do(func() {
+		s.stop()
+		if s.opt.onCrash != nil {
+			go s.opt.onCrash()
+		}
+	})
+}
+
 // sendHeartbeats calls the control machines until the server stops.
 func (s *server) sendHeartbeats(controls []string) {
 	next, sequence := "", 0
@@ -273,6 +290,10 @@
 	}
 	for n := first; n <= s.opt.events; n++ {
 		time.Sleep(s.opt.work())
+		if s.opt.crashOn != "" && strings.Contains(req.Header.Get("Prompt-Prefix"), s.opt.crashOn) {
+			s.rec.line("server %s: crashes under request %s", s.opt.id, id)
+			s.crash()
+		}
 		s.awaitSilence()
 		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, s.opt.version)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
