--- a/review/stand/case_silence.go
+++ b/review/stand/case_silence.go
@@ -22,7 +22,7 @@
 
 func playSilence(f *fleet, trouble bool) (breaks int, err error) {
 	started := time.Now()
-	if _, err := f.replace(streamDocument); err != nil {
+	if _, err := f.replace(strings.Replace(streamDocument, `"slots":48`, `"slots":6`, 1)); err != nil {
 		return 0, err
 	}
 	const serverCount, slots = 2, 6
