--- a/review/stand/common.go
+++ b/review/stand/common.go
@@ -29,8 +29,13 @@
 
 // quote sends a request for a stream that may be resumed.
 func (f *fleet) quote(m *machine) result {
+	return f.stream(m, "/quote/2f", 4*time.Second)
+}
+
+// stream sends a request for a stream.
+func (f *fleet) stream(m *machine, path string, deadline time.Duration) result {
 	return once(f.frontOf(m), call{
-		method: http.MethodPost, path: "/quote/2f", key: "n2ctnfzs989anu6wsjnb", body: []byte("a draft"), deadline: 4 * time.Second,
+		method: http.MethodPost, path: path, key: "n2ctnfzs989anu6wsjnb", body: []byte("a draft"), deadline: deadline,
 		header: []string{"Model-Name: m", "Token-Counts: 410,150", fmt.Sprintf("Prompt-Prefix: 5c1e07a2:400,%x:10", 0x10000+lastAttempt.Load())},
 	})
 }
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -56,10 +56,12 @@
 		acked       atomic.Bool
 	}
 
-	// serverConn is one connection to a server. late holds a second copy of its last answer.
+	// serverConn is one connection to a server. late holds a second copy of its last answer; left is closed when the caller of the
+	// request in progress has closed the connection.
 	serverConn struct {
 		net.Conn
 		late []byte
+		left chan struct{}
 	}
 )
 
@@ -204,9 +206,18 @@
 			}
 			c.late = nil
 		}
+		c.left = make(chan struct{})
+		peeked := make(chan struct{})
+		go func() {
+			defer close(peeked)
+			if _, err := reader.Peek(1); err != nil {
+				close(c.left)
+			}
+		}()
 		if err := s.handle(c, req, body); err != nil {
 			return
 		}
+		<-peeked
 	}
 }
 
@@ -240,7 +251,12 @@
 		s.rec.line("server %s: request %s is rejected as not run (full)", s.opt.id, id)
 		return s.answer(c, id, "503 Service Unavailable", "", "Not-Executed: 1\r\n")
 	}
-	s.slots <- struct{}{}
+	select {
+	case s.slots <- struct{}{}:
+	case <-c.left:
+		s.rec.line("server %s: request %s is dropped while it waits, as its connection was closed", s.opt.id, id)
+		return io.EOF
+	}
 	defer func() { <-s.slots }()
 	s.mu.Lock()
 	s.runs[id]++
