egress, proxy: a late copy of a refusal is not taken for the answer to the same request sent again

Callers saw: requests that may run once ran twice, or were answered 503 ("not run") while they ran, beside an endpoint that sends some of its refusals twice. Cause: answers are matched by the request's ID, which is the same for each sending of a request. After a refusal the connection went back to the pool and the next sending took it, so that the late copy was read as its answer. Change: a connection remembers the requests that were answered with a failure on it and is not used for them again; one on which a refusal named no request is closed. So are connections used for other instances. New log fields and the line `response to another request skipped`. Why it works: a copy can only come on the connection of its first sending, on which the request is not sent again.

--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -49,8 +49,10 @@
 )
 
 type (
-	// Request is a request to be written to a connection. Target is the request target as in the request line.
+	// Request is a request to be written to a connection. ID identifies it each time it is sent. Target is the request target as in the
+	// request line.
 	Request struct {
+		ID     string
 		Method string
 		Target string
 		Host   string
@@ -180,8 +182,12 @@
 	return call.conn.reused
 }
 
-// Release ends a call whose response was read completely and returns the connection to its pool if it can be reused.
+// Release ends a call whose response was read completely and returns the connection to its pool if it can be reused. If the response is
+// a failure, the request may be sent again, but not over this connection.
 func (call *Call) Release(now time.Time, resp *http.Response, idleTimeout time.Duration) {
+	if resp.StatusCode >= http.StatusBadRequest {
+		call.conn.failed = append(call.conn.failed, hashID(call.req.ID))
+	}
 	if !call.stopCancel() || resp.Close || answer.FramingOf(resp) == answer.FramedByConnection {
 		_ = call.conn.TCPConn.Close()
 		return
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"hash/fnv"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +38,8 @@
 	readBufferBytes = 4 << 10
 	// dialAttempts is the number of attempts to connect; the second one starts after secondDialDelay.
 	dialAttempts = 2
+	// maxFailedRequests is the number of failed requests after which a connection is not used again, as it remembers no more.
+	maxFailedRequests = 64
 )
 
 type (
@@ -71,6 +75,8 @@
 		reused      bool
 		// provenStart is the start time of the endpoint's process as it told itself on this connection, or 0.
 		provenStart int64
+		// failed holds the hashes of the IDs of requests that were answered with a failure on this connection.
+		failed []uint64
 	}
 )
 
@@ -92,10 +98,11 @@
 	return p.dialed, p.reused
 }
 
-// Idle returns an idle connection that is still open and has no unread data, or nil.
-func (p *Pools) Idle(now time.Time, dest Dest) *Conn {
+// Idle returns an idle connection for a request that is still open and has no unread data, or nil. A connection on which the request
+// has failed is not returned: a late copy of that answer would be taken for the answer to the request when it is sent again.
+func (p *Pools) Idle(now time.Time, dest Dest, requestID string) *Conn {
 	for {
-		c := p.takeIdle(now, dest)
+		c := p.takeIdle(now, dest, requestID)
 		if c == nil {
 			return nil
 		}
@@ -107,27 +114,45 @@
 	}
 }
 
-func (p *Pools) takeIdle(now time.Time, dest Dest) *Conn {
+// takeIdle takes the connection that was used last from the pool, of those on which the request has not failed.
+func (p *Pools) takeIdle(now time.Time, dest Dest, requestID string) (taken *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[dest]
-	for len(idle) > 0 {
-		c := idle[len(idle)-1]
-		idle = idle[:len(idle)-1]
-		p.idle[dest] = idle
-		if now.Sub(c.idleSince) < c.idleTimeout {
+	for i := len(idle) - 1; i >= 0 && taken == nil; i-- {
+		c := idle[i]
+		switch {
+		case now.Sub(c.idleSince) >= c.idleTimeout:
+			_ = c.TCPConn.Close()
+		case c.hasFailed(requestID):
+			continue
+		default:
+			taken = c
 			p.reused++
-			return c
 		}
-		_ = c.TCPConn.Close()
+		idle = slices.Delete(idle, i, i+1)
+	}
+	if p.idle[dest] = idle; len(idle) == 0 {
+		delete(p.idle, dest)
 	}
-	delete(p.idle, dest)
-	return nil
+	return taken
+}
+
+// hashID returns the form in which a connection remembers the ID of a request. Two IDs with the same hash only cost a connection.
+func hashID(requestID string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(requestID))
+	return h.Sum64()
+}
+
+// hasFailed reports whether a request was answered with a failure on the connection.
+func (c *Conn) hasFailed(requestID string) bool {
+	return len(c.failed) > 0 && slices.Contains(c.failed, hashID(requestID))
 }
 
 // Put returns a connection to its pool for up to idleTimeout. Its last response must have been read completely.
 func (p *Pools) Put(now time.Time, c *Conn, idleTimeout time.Duration) {
-	if idleTimeout <= 0 || c.reader.Buffered() > 0 || c.source.buffered() > 0 {
+	if idleTimeout <= 0 || len(c.failed) >= maxFailedRequests || c.reader.Buffered() > 0 || c.source.buffered() > 0 {
 		_ = c.TCPConn.Close()
 		return
 	}
--- a/internal/proxy/broken.go
+++ b/internal/proxy/broken.go
@@ -43,15 +43,26 @@
 		req.log.Debug("rest of a refusal not read", zap.String("endpoint", choice.ID), zap.Error(err))
 		call.Abort()
 	} else {
-		call.Release(req.proxy.opt.Now(), resp, egress.IdleTimeout(info.IdleTimeout))
+		releaseRefused(req.proxy.opt.Now(), call, resp, info)
 	}
 	req.proxy.opt.Chooser.RecordOutcome(req.attemptID, outcome)
-	req.log.Info("endpoint declined", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Int("status", resp.StatusCode))
+	req.log.Info("endpoint declined", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Int("status", resp.StatusCode),
+		zap.Bool("named", info.ID != ""), zap.Bool("reused", call.Reused()), zap.Duration("after", req.proxy.opt.Now().Sub(req.sentAt)))
 	return attemptResult{retry: true, rejection: &rejection{
 		status: http.StatusServiceUnavailable, reason: "endpoint full", retryAfter: fullRetryAfter,
 	}}
 }
 
+// releaseRefused ends an exchange whose request was refused as not run. The connection is closed if the refusal does not name its
+// request, or is not marked as a failure by its status: a late copy of it could not be told from the answer to a later request.
+func releaseRefused(now time.Time, call exchange, resp *http.Response, info ResponseInfo) {
+	if info.ID == "" || resp.StatusCode < http.StatusBadRequest {
+		call.Abort()
+		return
+	}
+	call.Release(now, resp, egress.IdleTimeout(info.IdleTimeout))
+}
+
 // handleBroken handles an attempt that may have run the request but returned no complete response.
 func (req *request) handleBroken(choice place.Choice, call exchange, err error) attemptResult {
 	call.Abort()
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -226,7 +226,7 @@
 		return decline(detour.Unwilling, "the endpoint takes nothing from this instance now")
 	}
 	dest := egress.Dest{ID: order.EndpointID, Addr: order.Addr, StartedAtMS: order.StartedAtMS}
-	conn := p.pools.Idle(now, dest)
+	conn := p.pools.Idle(now, dest, order.RequestID)
 	if conn == nil {
 		var err error
 		if conn, err = p.pools.Dial(ctx, dest); err != nil {
@@ -244,7 +244,7 @@
 		}
 	}
 	call, err := p.pools.Start(ctx, conn, &egress.Request{
-		Method: order.Method, Target: order.Target, Host: order.Host, Header: order.Header, Body: body,
+		ID: order.RequestID, Method: order.Method, Target: order.Target, Host: order.Host, Header: order.Header, Body: body,
 	}, order.Left)
 	if errors.Is(err, egress.ErrUnsent) {
 		call.Abort()
@@ -282,7 +282,11 @@
 		p.logBroken(order, errors.Join(err, detour.WriteEnd(w, false)))
 		return
 	}
-	call.Release(p.opt.Now(), resp, egress.IdleTimeout(info.IdleTimeout))
+	if info.NotRun || info.Misdirected {
+		releaseRefused(p.opt.Now(), call, resp, info)
+	} else {
+		call.Release(p.opt.Now(), resp, egress.IdleTimeout(info.IdleTimeout))
+	}
 	if err := detour.WriteEnd(w, true); err != nil {
 		p.logBroken(order, err)
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/place"
@@ -131,7 +133,7 @@
 	p, ctx := req.proxy, req.httpReq.Context()
 	now, dest := p.opt.Now(), egress.Dest{ID: choice.ID, Addr: choice.Addr, StartedAtMS: choice.StartedAtMS}
 	if p.links.useOld(now) {
-		if conn := p.pools.Idle(now, dest); conn != nil {
+		if conn := p.pools.Idle(now, dest, req.caller.ID); conn != nil {
 			return req.sendOn(conn, choice, after)
 		}
 	}
@@ -174,7 +176,7 @@
 	p.opt.Dialect.EncodeRequest(h, req.forwardInfo(choice, after))
 	req.sentAt = p.opt.Now()
 	call, err := p.pools.Start(ctx, conn, &egress.Request{
-		Method: req.httpReq.Method, Target: req.httpReq.RequestURI, Host: req.httpReq.Host, Header: h, Body: req.body,
+		ID: req.caller.ID, Method: req.httpReq.Method, Target: req.httpReq.RequestURI, Host: req.httpReq.Host, Header: h, Body: req.body,
 	}, req.deadline.Sub(p.opt.Now()))
 	if errors.Is(err, egress.ErrUnsent) {
 		p.links.broken(p.opt.Now(), choice.ID, conn.Reused(), false, false)
@@ -245,7 +247,12 @@
 	resp, err := call.ReadResponse(func(resp *http.Response) bool {
 		info = req.proxy.opt.Dialect.DecodeResponse(resp.StatusCode, resp.Header)
 		req.takeNotices(choice, info)
-		return info.belongsTo(req.caller.ID)
+		if belongs := info.belongsTo(req.caller.ID); !belongs {
+			req.log.Info("response to another request skipped", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
+				zap.String("other", info.ID), zap.Int("status", resp.StatusCode))
+			return false
+		}
+		return true
 	})
 	if err != nil {
 		return nil, info, err
