blame: a crashing part of prompts no longer locks out all requests of its caller

Callers saw: some seconds of pause, then a few requests with a part on which endpoints crash; from then on all requests of the caller were refused for two minutes or more. Cause: after the pause no instance knows of an answer on the leading parts, so that they are held together with the cause. A trial was granted only to a request without any of the parts that were there too in the crashes, which the caller's requests never are. Change: the first two trials of a part are due without delay for a request that lacks a part which explains the crashes as well; the second waits for the first one's result. Why it works: an answer frees all parts of the request, a crash speaks against its parts more than against the one that it lacks. At most two trials of a part fail before the wait of two minutes.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -22,6 +22,8 @@
 	firstTrialDelay = 2 * time.Minute
 	trialBackoff    = 4
 	maxTrialDelay   = 24 * time.Hour
+	// trialTime is how long the result of a trial is waited for before another request may repeat it.
+	trialTime = 3 * time.Second
 )
 
 type (
@@ -168,10 +170,14 @@
 	return number == r.Trials-1 && r.LastTrial == id
 }
 
-// TrialDue reports whether a request with the given parts may try a held part, the time of whose last change is changed. The first
-// trial is due at once for a request without the parts that accompanied the part in the crashes, as one of those may be the cause.
+// TrialDue reports whether a request with the given parts may try a held part, the time of whose last change is changed. The first two
+// trials are due without delay for a request that lacks a part which explains the crashes as well: an answer frees all parts of the
+// request, and another crash speaks against them more than against the part that it lacks.
 func (r *Record) TrialDue(now, changed time.Time, parts []uint64) bool {
-	if r.Trials == 0 && r.companionsMissing(parts) {
+	switch {
+	case r.Trials == 0 && r.lacksRival(parts, crashesToHold):
+		return true
+	case r.Trials == 1 && r.lacksRival(parts, len(r.Crashes)) && now.Sub(changed) >= trialTime:
 		return true
 	}
 	delay := firstTrialDelay
@@ -181,9 +187,24 @@
 	return now.Sub(changed) >= delay
 }
 
-// companionsMissing reports whether the part had companions in each crash, and parts has none of them.
-func (r *Record) companionsMissing(parts []uint64) bool {
-	return !slices.ContainsFunc(r.Crashes, func(c Crash) bool {
-		return len(c.Companions) == 0 || slices.ContainsFunc(c.Companions, func(id uint64) bool { return slices.Contains(parts, id) })
-	})
+// lacksRival reports whether another part accompanied the part in at least minCrashes of its crashes, is not one of parts, and explains
+// the crashes no worse than those that are.
+func (r *Record) lacksRival(parts []uint64, minCrashes int) bool {
+	shared := map[uint64]int{}
+	for _, c := range r.Crashes {
+		for _, id := range c.Companions {
+			shared[id]++
+		}
+	}
+	strongest := 0
+	for _, id := range parts {
+		strongest = max(strongest, shared[id])
+		delete(shared, id)
+	}
+	for _, crashes := range shared {
+		if crashes >= max(minCrashes, strongest) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -205,6 +205,41 @@
 		So(rec.grantTrial(0, "a"), ShouldBeTrue)
 		So(rec.TrialDue(now, now, []uint64{1, 50}), ShouldBeFalse)
 	})
+	Convey("a request may try at once that has some of the parts that were there in each crash, but not all", t, func() {
+		h := newHistory()
+		for range crashesToHold {
+			h.crash("m", 1, 2, 99)
+		}
+		rec := h.tracker.Records[1]
+		So(rec.TrialDue(now, now, []uint64{1, 2, 99}), ShouldBeFalse)
+		So(rec.TrialDue(now, now, []uint64{1, 2, 50}), ShouldBeTrue)
+	})
+	Convey("after a trial that crashed, it may be one that lacks a part which was there in that crash too, once it was waited for", t, func() {
+		h := newHistory()
+		for range crashesToHold {
+			h.crash("m", 1, 2, 99)
+		}
+		rec := h.tracker.Records[1]
+		So(rec.TrialDue(now, now, []uint64{1, 99, 50}), ShouldBeTrue)
+		So(rec.grantTrial(0, "a"), ShouldBeTrue)
+		h.crash("m", 1, 99, 50)
+		So(rec.TrialDue(now, now, []uint64{1, 2, 51}), ShouldBeFalse)
+		So(rec.TrialDue(now.Add(trialTime), now, []uint64{1, 99, 51}), ShouldBeFalse)
+		So(rec.TrialDue(now.Add(trialTime), now, []uint64{1, 2, 51}), ShouldBeTrue)
+		So(rec.grantTrial(1, "b"), ShouldBeTrue)
+		So(rec.TrialDue(now.Add(trialTime), now, []uint64{1, 2, 51}), ShouldBeFalse)
+	})
+	Convey("a part that is in a crash without the others may be tried by a request without them", t, func() {
+		h := newHistory()
+		for range crashesToHold {
+			h.crash("m", 1, 99)
+		}
+		h.crash("m", 1)
+		rec := h.tracker.Records[1]
+		So(rec.TrialDue(now, now, []uint64{1, 50}), ShouldBeTrue)
+		So(rec.grantTrial(0, "a"), ShouldBeTrue)
+		So(rec.TrialDue(now.Add(trialTime), now, []uint64{1, 50}), ShouldBeFalse)
+	})
 	Convey("one request gets a trial, also when it asks twice", t, func() {
 		var rec Record
 		So(rec.grantTrial(0, "a"), ShouldBeTrue)
--- a/internal/blame/flood_test.go
+++ b/internal/blame/flood_test.go
@@ -52,13 +52,16 @@
 		count   int
 		sound   int
 		refused int
+		// trials makes requests try held parts. changed holds when each part last crashed an engine or was tried.
+		trials  bool
+		changed map[uint64]time.Duration
 	}
 )
 
 func newFlood(seed uint64, bad ...uint64) *flood {
 	f := &flood{
 		random: rand.New(rand.NewPCG(seed, 7)), history: newHistory(), bad: bad, crashes: map[uint64]int{},
-		fifthAt: map[uint64]time.Duration{}, late: map[uint64]int{},
+		fifthAt: map[uint64]time.Duration{}, late: map[uint64]int{}, changed: map[uint64]time.Duration{},
 	}
 	for i := range f.engines {
 		f.engines[i] = floodEngine{boot: i, running: map[int][]uint64{}}
@@ -89,7 +92,7 @@
 	if i < 0 {
 		f.sound++
 	}
-	if f.history.held("m", parts...) {
+	if f.history.held("m", parts...) && !f.tries(at, parts) {
 		if i < 0 {
 			f.refused++
 		}
@@ -139,11 +142,29 @@
 		f.schedule(reportAt, func() {
 			f.history.nowMS = reportAt.Milliseconds()
 			f.history.report(Report{Service: "m", Boot: boot, Parts: parts})
+			for _, part := range parts {
+				f.changed[part] = reportAt
+			}
 		})
 	}
 	*engine = floodEngine{boot: engine.boot + floodEngines, upAt: at + floodRestart, running: map[int][]uint64{}}
 }
 
+// tries reports whether a request gets a trial of its first held part.
+func (f *flood) tries(at time.Duration, parts []uint64) bool {
+	i := slices.IndexFunc(parts, func(part uint64) bool { return f.history.held("m", part) })
+	if !f.trials || i < 0 {
+		return false
+	}
+	part := parts[i]
+	rec := f.history.tracker.Records[part]
+	if !rec.TrialDue(time.UnixMilli(at.Milliseconds()), time.UnixMilli(f.changed[part].Milliseconds()), parts) {
+		return false
+	}
+	f.changed[part] = at
+	return rec.grantTrial(rec.Trials, fmt.Sprint("r", f.count))
+}
+
 func (f *flood) run() {
 	for len(f.events) > 0 {
 		next := f.events[0]
@@ -209,3 +230,38 @@
 		})
 	}
 }
+
+// TestCrashingPartLocksItsCallerOut guards against refusing the sound requests of a caller whose leading parts are in its crashing requests
+// too, and were not answered shortly before; and against trials that crash engine after engine.
+func TestCrashingPartLocksItsCallerOut(t *testing.T) {
+	const seeds, maxLate, duration, settled = 30, 3, 40 * time.Second, 16 * time.Second
+	crashing := map[string]func(f *flood) []uint64{
+		"all have the caller's leading parts": func(*flood) []uint64 { return []uint64{1, 2, 98} },
+		"some lack one of the leading parts": func(f *flood) []uint64 {
+			return [][]uint64{{1, 2, 98}, {1, 98}, {2, 98, 3}}[f.random.IntN(3)]
+		},
+		"the part comes first": func(f *flood) []uint64 { return []uint64{98, 1, 2, 200 + f.random.Uint64N(40)} },
+	}
+	for name, parts := range crashing {
+		Convey("crashing requests come, then sound ones beside them: "+name, t, func() {
+			worst, sound, refused := 0, 0, 0
+			for seed := range uint64(seeds) {
+				f := newFlood(seed, 98)
+				f.trials = true
+				f.arrivals(2, duration, func() []uint64 { return parts(f) })
+				for at := 4 * time.Second; at < duration; at += 250 * time.Millisecond {
+					f.schedule(at, func() {
+						if at == settled {
+							f.sound, f.refused = 0, 0
+						}
+						f.arrive(at, []uint64{1, 2, 100 + f.random.Uint64N(4)})
+					})
+				}
+				f.run()
+				worst, sound, refused = max(worst, f.late[98]), sound+f.sound, refused+f.refused
+			}
+			So(worst, ShouldBeLessThanOrEqualTo, maxLate)
+			So(refused, ShouldBeLessThan, sound/20)
+		})
+	}
+}
--- a/internal/proxy/parts_test.go
+++ b/internal/proxy/parts_test.go
@@ -132,6 +132,13 @@
 		h.send(http.MethodPost, "/resume/", "x", "Parts", "b c")
 		So(h.chooser.next.Load(), ShouldEqual, 3)
 	})
+	Convey("a request without one of the parts that may be the cause gets the trial, and its answer frees all of its parts", t, func() {
+		h := newHarness(t, streamUpTo(3, 0))
+		h.view.Parts = blame.Records{0xa: crashedUnder("s", 3, 0xb, 0xe), 0xb: crashedUnder("s", 3, 0xa, 0xe), 0xe: crashedUnder("s", 3, 0xa, 0xb)}
+		So(h.send(http.MethodPost, "/stream/", "x", "Parts", "a b e c").status, ShouldEqual, http.StatusServiceUnavailable)
+		So(h.send(http.MethodPost, "/stream/", "x", "Parts", "a b d c").status, ShouldEqual, http.StatusOK)
+		So(h.partReports(100*time.Millisecond), ShouldResemble, []string{"trial 0 of a", "parts [a b] of  sound true"})
+	})
 	Convey("a request that may be the cause of nothing gets the trial of the part", t, func() {
 		h := newHarness(t, streamUpTo(3, 0))
 		h.view.Parts = blame.Records{0xa: crashedUnder("s", 3, 0xb)}
