table, platform: requests need a key also while no key is known

Callers saw: after the last API key was revoked, requests with revoked and unknown keys, and without one, ran at all entries. Cause: whether requests need a key was derived from the number of known keys. Change: a table with organisations requires keys, with or without keys in them; so does one whose document has an empty list of them, by the field RequireKeys of the table and of its header item. Gauges keys_required and keys_known. Why it works: the requirement is now a property of the table, which revoking keys does not change.

--- a/internal/ctrl/routing.go
+++ b/internal/ctrl/routing.go
@@ -21,8 +21,9 @@
 
 	// TableHeader is the part of a routing table that belongs to no route, service or organisation.
 	TableHeader struct {
-		Version uint64       `json:"version"`
-		Limits  table.Limits `json:"limits"`
+		Version     uint64       `json:"version"`
+		Limits      table.Limits `json:"limits"`
+		RequireKeys bool         `json:"require_keys,omitempty"`
 	}
 )
 
@@ -81,7 +82,7 @@
 		items[kind.itemID(key)] = Item{Kind: kind, Key: key, ModVersion: modVersion, Data: data}
 		return nil
 	}
-	if err := add(KindTable, "", TableHeader{Version: t.Version, Limits: t.Limits}); err != nil {
+	if err := add(KindTable, "", TableHeader{Version: t.Version, Limits: t.Limits, RequireKeys: t.RequireKeys}); err != nil {
 		return nil, err
 	}
 	for i := range t.Routes {
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -99,7 +99,7 @@
 		return err
 	}
 	c.router.log.Info("routing table accepted", zap.Uint64("table", t.Version), zap.Uint64("in_force", result.Version),
-		zap.String("note", result.Reason), zap.Int("routes", len(t.Routes)))
+		zap.String("note", result.Reason), zap.Int("routes", len(t.Routes)), zap.Int("organisations", len(t.Organisations)))
 	return nil
 }
 
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -107,6 +107,8 @@
 		view := r.distributor.View()
 		r.meter.SetGauge("config_version", float64(view.Version))
 		r.meter.SetGauge("table_version", float64(view.Table.Version()))
+		r.meter.SetGauge("keys_required", gaugeOf(view.Table.RequiresKey()))
+		r.meter.SetGauge("keys_known", float64(view.Table.NumKeys()))
 		r.meter.SetGauge("config_age_seconds", r.distributor.ProofAge(clock.Now()).Seconds())
 		r.meter.SetGauge("endpoints", float64(len(view.Endpoints)))
 		r.meter.SetGauge("prompt_parts_suspected", float64(len(view.Parts)))
--- a/internal/spread/view.go
+++ b/internal/spread/view.go
@@ -79,7 +79,7 @@
 		case ctrl.KindTable:
 			var header ctrl.TableHeader
 			if cbor.Unmarshal(item.Data, &header) == nil {
-				t.Version, t.Limits = header.Version, header.Limits
+				t.Version, t.Limits, t.RequireKeys = header.Version, header.Limits, header.RequireKeys
 			}
 		case ctrl.KindRoute:
 			t.Routes = appendDecoded(t.Routes, item)
--- a/pkg/table/index.go
+++ b/pkg/table/index.go
@@ -15,6 +15,7 @@
 	routesByHost           map[string][]*Route
 	servicesByName         map[string]*Service
 	organisationsByKeyHash map[string]*Organisation
+	requiresKey            bool
 	routeCount             int
 }
 
@@ -23,6 +24,7 @@
 	idx := &Index{
 		version: t.Version, limits: t.Limits, routesByHost: map[string][]*Route{}, servicesByName: map[string]*Service{},
 		organisationsByKeyHash: map[string]*Organisation{}, routeCount: len(t.Routes),
+		requiresKey: t.RequireKeys || len(t.Organisations) > 0,
 	}
 	for i := range t.Routes {
 		host := strings.ToLower(t.Routes[i].Host)
@@ -57,9 +59,14 @@
 	return idx.routeCount
 }
 
-// RequiresKey reports whether the table holds API keys, so that requests need one.
+// RequiresKey reports whether requests need an API key. They may do so while the table holds none, as after the last one was revoked.
 func (idx *Index) RequiresKey() bool {
-	return len(idx.organisationsByKeyHash) > 0
+	return idx.requiresKey
+}
+
+// NumKeys returns the number of API keys of all organisations.
+func (idx *Index) NumKeys() int {
+	return len(idx.organisationsByKeyHash)
 }
 
 // Route returns the route of the host with the longest prefix that matches the path, or nil. The host may include a port.
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -103,7 +103,10 @@
 		Routes        []Route        `json:"routes"`
 		Services      []Service      `json:"services"`
 		Organisations []Organisation `json:"organisations"`
-		Limits        Limits         `json:"limits"`
+		// RequireKeys is set if requests on routes that are not public need an API key, even while no key is known. A table with
+		// organisations requires keys in any case.
+		RequireKeys bool   `json:"require_keys,omitempty"`
+		Limits      Limits `json:"limits"`
 	}
 )
 
--- a/pkg/table/table_test.go
+++ b/pkg/table/table_test.go
@@ -40,6 +40,17 @@
 		So(idx.OrganisationByKey(""), ShouldBeNil)
 		So(idx.OrganisationByKey(HashKey("k1")), ShouldBeNil)
 	})
+	Convey("requests need a key while a table has organisations or requires keys, though it holds none", t, func() {
+		tbl := sampleTable()
+		So(New(tbl).RequiresKey(), ShouldBeTrue)
+		tbl.Organisations[0].KeyHashes, tbl.Organisations[1].KeyHashes = nil, nil
+		So(New(tbl).RequiresKey(), ShouldBeTrue)
+		So(New(tbl).NumKeys(), ShouldEqual, 0)
+		tbl.Organisations = nil
+		So(New(tbl).RequiresKey(), ShouldBeFalse)
+		tbl.RequireKeys = true
+		So(New(tbl).RequiresKey(), ShouldBeTrue)
+	})
 	Convey("the traffic split follows the weights", t, func() {
 		route := New(sampleTable()).Route("a.example", "/x/y/")
 		So(route.PickService(0), ShouldEqual, "s")
