proxy: a silent endpoint keeps its requests until another one begins to answer them

Callers saw: streams of a sound endpoint that is silent for 1.4 s were cut in the middle while the other endpoints were full. Cause: after 1.2 s of silence the entry closed its connection before another endpoint had the stream, and gave up at the first one that refused it. Change: while an endpoint is silent, another one is sought and its connection stays open; whichever sends first has the request. A refusal leads on to the next endpoint. This holds for streams, before and after they begin, for calls that may be repeated, and by way of other instances. Silence is still reported to the watch of this instance's own links. Why it works: the old connection is closed only once another endpoint has begun to answer. Each endpoint that is asked costs a retry, as before.

--- a/internal/proxy/broken.go
+++ b/internal/proxy/broken.go
@@ -45,6 +45,7 @@
 	} else {
 		releaseRefused(req.proxy.opt.Now(), call, resp, info)
 	}
+	req.declinedCount++
 	req.proxy.opt.Chooser.RecordOutcome(req.attemptID, outcome)
 	req.log.Info("endpoint declined", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Int("status", resp.StatusCode),
 		zap.Bool("named", info.ID != ""), zap.Bool("reused", call.Reused()), zap.Duration("after", req.proxy.opt.Now().Sub(req.sentAt)))
@@ -53,6 +54,14 @@
 	}}
 }
 
+// refusalOutcome returns the outcome of an attempt that was refused as not run.
+func refusalOutcome(info ResponseInfo) place.Outcome {
+	if info.Misdirected {
+		return place.WrongEndpoint
+	}
+	return place.Declined
+}
+
 // releaseRefused ends an exchange whose request was refused as not run. The connection is closed if the refusal does not name its
 // request, or is not marked as a failure by its status: a late copy of it could not be told from the answer to a later request.
 func releaseRefused(now time.Time, call exchange, resp *http.Response, info ResponseInfo) {
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -54,7 +54,7 @@
 				zap.Duration("took", req.proxy.opt.Now().Sub(now)))
 			return choice, true
 		}
-		if len(req.excluded) > 0 {
+		if len(req.excluded) > 0 && req.silent == "" {
 			// No other endpoint is left: retry one that failed before.
 			req.log.Info("no other endpoint", zap.String("service", req.service.Name), zap.Strings("avoided", req.excluded))
 			req.excluded = nil
@@ -94,6 +94,9 @@
 
 // unusableEndpoints returns the IDs of the endpoints that failed this request or take no new ones from this instance, and others.
 func (req *request) unusableEndpoints(now time.Time, others []string) []string {
+	if req.silent != "" {
+		others = append(slices.Clone(others), req.silent)
+	}
 	return slices.Concat(others, req.excluded, req.proxy.notices.Unwilling(now, req.proxy.opt.View().Endpoints))
 }
 
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -195,22 +195,26 @@
 	}
 	req.sentCount++
 	if err == nil {
-		call.OnTimeout(req.waitOn)
 		err = call.SetReadTimeout(req.firstResponseTimeout(start, &choice))
 	}
 	if err != nil {
 		return req.handleBroken(choice, call, err)
 	}
+	silence := req.watchSilence(choice, call, "", req.mayTryOther)
 	resp, info, err := req.readResponseHead(choice, call)
+	next, err := silence.end(err)
 	if err != nil {
-		return req.handleBroken(choice, call, err)
+		if result := req.handleBroken(choice, call, err); next == nil || result.done {
+			next.abandon()
+			return result
+		}
+		req.adopt(next.req)
+		choice, call, resp, info, start = next.choice, next.call, next.resp, next.info, next.start
 	}
 	req.firstByteTime = req.proxy.opt.Now().Sub(req.arrivedAt)
 	switch {
-	case info.Misdirected:
-		return req.handleNotRun(choice, call, resp, info, place.WrongEndpoint)
-	case info.NotRun:
-		return req.handleNotRun(choice, call, resp, info, place.Declined)
+	case info.Misdirected, info.NotRun:
+		return req.handleNotRun(choice, call, resp, info, refusalOutcome(info))
 	case resp.Header.Get("Content-Encoding") != "", !info.Signed && resp.StatusCode < http.StatusMultipleChoices:
 		return req.handleBroken(choice, call, errForeignResponse)
 	}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -183,6 +183,8 @@
 	brittles     []place.Brittle
 	// services lists the services for which an endpoint was asked for.
 	services []string
+	// alternatives is the number of other endpoints that each choice names.
+	alternatives int
 	// limitedFor is the time for which limits are the reason that no endpoint is found.
 	limitedFor time.Duration
 }
@@ -197,6 +199,7 @@
 		if !strings.Contains(strings.Join(req.ExcludedIDs, " ")+" ", id+" ") {
 			return place.Choice{
 				ID: id, StartedAtMS: c.view.Endpoints[id].StartedAtMS, Addr: c.endpoints[i].addr, ExpectedLatency: time.Millisecond,
+				Alternatives: c.alternatives,
 			}, true, nil
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -138,16 +138,18 @@
 		log          *zap.Logger
 		// attemptID is the ID of the current attempt.
 		attemptID string
-		// attempts counts all attempts, sentCount those for which something was sent.
-		attempts  int
-		sentCount int
+		// attempts counts all attempts, sentCount those for which something was sent, declinedCount those of them that endpoints said they
+		// have not run.
+		attempts      int
+		sentCount     int
+		declinedCount int
 		// via is the other instance by way of which the current attempt is sent, or invalid. answered is set once its response has begun.
 		via      netip.AddrPort
 		answered bool
-		// retryReserved is set if a retry was taken from the retry window that is not used yet.
-		retryReserved atomic.Bool
 		// excluded lists the IDs of the endpoints that failed this request.
 		excluded []string
+		// silent is the ID of the endpoint that has the request while another one is sought, or empty.
+		silent string
 		// build is the software version that the stream is bound to, or empty; from is the endpoint that its first event came from.
 		build string
 		from  origin.Origin
--- a/internal/proxy/repeat.go
+++ b/internal/proxy/repeat.go
@@ -27,7 +27,7 @@
 
 // takeRetry takes one retry from the service's retry window. While no attempt has sent anything, it costs nothing.
 func (req *request) takeRetry(now time.Time) bool {
-	if req.sentCount == 0 || req.retryReserved.Swap(false) {
+	if req.sentCount == 0 {
 		return true
 	}
 	if req.retryWindow.AllowRetry(now, req.proxy.opt.RetryAllowance()) {
@@ -37,17 +37,6 @@
 	return false
 }
 
-// waitOn returns how much longer to wait for an endpoint that has not answered in time, or 0 if a retry is reserved for the request.
-// Without a retry, giving up gains nothing: the endpoint may be silent for a short time only.
-func (req *request) waitOn() time.Duration {
-	now := req.proxy.opt.Now()
-	if req.mayRetry() && req.takeRetry(now) {
-		req.retryReserved.Store(true)
-		return 0
-	}
-	return max(0, req.deadline.Sub(now))
-}
-
 // repeatable reports whether the request may run more than once.
 func (req *request) repeatable() bool {
 	return req.route.Kind == table.Idempotent || req.route.Kind == table.Streaming && req.route.Resumable
@@ -55,5 +44,5 @@
 
 // mayRetry reports whether the request may be sent to another endpoint although this one may have run it.
 func (req *request) mayRetry() bool {
-	return req.repeatable() && !req.suspect && req.sentCount < req.route.MaxAttempts
+	return req.repeatable() && !req.suspect && req.sentCount-req.declinedCount < req.route.MaxAttempts
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -29,6 +28,7 @@
 	errEventOrder    = errors.New("the events of the stream are out of order")
 	errEventTooLarge = errors.New("an event of the stream is too large")
 	errCallerWrite   = errors.New("the caller does not take the stream")
+	errTaken         = errors.New("another endpoint has taken the stream")
 )
 
 // streamRelay forwards one event stream to the caller. Several endpoints may produce it in turn.
@@ -46,8 +46,9 @@
 	fresh []byte
 	// anyEvent is set once the current endpoint has sent a complete event.
 	anyEvent bool
-	// choice is the current endpoint.
-	choice place.Choice
+	// choice is the current endpoint, silence the handover from it.
+	choice  place.Choice
+	silence *handover
 }
 
 // relayStream forwards an event stream and resumes it on another endpoint where the route allows this.
@@ -56,10 +57,18 @@
 	s := &streamRelay{req: req, controller: http.NewResponseController(req.writer), header: endToEnd(resp.Header), lastID: -1}
 	for {
 		s.choice = choice
+		s.silence = req.watchSilence(choice, call, s.lastEvent(), s.mayResume)
 		err := s.relay(call, resp, req.firstResponseTimeout(start, &choice), func() {
 			req.proxy.opt.Chooser.RecordFirstAnswer(req.attemptID, req.proxy.opt.Now().Sub(start))
 		})
+		var next *begun
+		if err == nil || errors.Is(err, errCallerWrite) {
+			next, _ = s.silence.end(nil)
+		} else {
+			next, err = s.silence.end(err)
+		}
 		if err == nil {
+			next.abandon()
 			s.sendHeader()
 			call.Release(req.proxy.opt.Now(), resp, egress.IdleTimeout(info.IdleTimeout))
 			if req.route.GapTarget > 0 && req.sentCount == 1 {
@@ -75,28 +84,46 @@
 		}
 		result := req.handleBroken(choice, call, err)
 		if result.done || errors.Is(err, errCallerWrite) {
+			next.abandon()
 			req.abort(result)
 		}
-		if !s.mayResume() {
-			return s.endBroken(result)
-		}
-		req.excluded = append(req.excluded, choice.ID)
-		start = req.proxy.opt.Now()
-		var ok bool
-		if choice, call, resp, info, ok = req.resume(s.lastID, req.buildOf(choice)); !ok {
-			return s.endBroken(result)
+		if next == nil {
+			if !s.mayResume() {
+				return s.endBroken(result)
+			}
+			req.excluded = append(req.excluded, choice.ID)
+			if next = req.seek(s.lastEvent()); next == nil {
+				return s.endBroken(result)
+			}
 		}
+		req.log.Info("stream resumed", zap.String("run", next.req.attemptID), zap.String("endpoint", next.choice.ID),
+			zap.Int64("after", s.lastID), zap.String("build", req.buildOf(next.choice)), zap.String("from", req.buildOf(choice)))
+		req.adopt(next.req)
+		choice, call, resp, info, start = next.choice, next.call, next.resp, next.info, next.start
+	}
+}
+
+// lastEvent returns the ID of the last event that was forwarded, or an empty text if there is none.
+func (s *streamRelay) lastEvent() string {
+	if s.lastID < 0 {
+		return ""
 	}
+	return strconv.FormatInt(s.lastID, 10)
 }
 
-// gapTimeout returns how long to wait for the next event. If another endpoint can resume the stream, it is longer than
-// any gap within the target but shorter than callers wait.
+// gapTimeout returns how long to wait for the next event before another endpoint is sought, if that can resume the stream.
 func (req *request) gapTimeout() time.Duration {
 	left := req.deadline.Sub(req.proxy.opt.Now())
 	if !req.mayRetry() {
 		return left
 	}
-	return min(left, max(gapTimeoutFactor*req.route.GapTarget, minGapTimeout))
+	return min(left, req.silenceTimeout())
+}
+
+// silenceTimeout returns how long an endpoint may be silent before another one is sought. It is longer than any gap within the target but
+// shorter than callers wait.
+func (req *request) silenceTimeout() time.Duration {
+	return max(gapTimeoutFactor*req.route.GapTarget, minGapTimeout)
 }
 
 // mayResume reports whether the stream may be resumed on another endpoint. Once the caller has a part of it, the software version must
@@ -111,45 +138,6 @@
 		req.takeRetry(now)
 }
 
-// resume has another endpoint continue the stream, which comes from an endpoint of the software version from, after the event lastID.
-func (req *request) resume(lastID int64, from string) (choice place.Choice, call exchange, resp *http.Response, info ResponseInfo, ok bool) {
-	after := ""
-	if lastID >= 0 {
-		after = strconv.FormatInt(lastID, 10)
-	}
-	for req.attempts < maxAttempts {
-		if req.checkParts() != nil {
-			return choice, nil, nil, info, false
-		}
-		if choice, ok = req.chooseEndpoint(); !ok {
-			return choice, nil, nil, info, false
-		}
-		var err error
-		call, err = req.send(choice, after)
-		if call == nil {
-			req.handleUnsent(choice, err)
-			req.excluded = append(req.excluded, choice.ID)
-			continue
-		}
-		req.sentCount++
-		if err == nil {
-			resp, info, err = req.readResponseHead(choice, call)
-		}
-		if err == nil && info.Signed && resp.StatusCode == http.StatusOK {
-			call.OnTimeout(req.waitOn)
-			req.log.Info("stream resumed", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
-				zap.Int64("after", lastID), zap.String("build", req.buildOf(choice)), zap.String("from", from))
-			return choice, call, resp, info, true
-		}
-		if err == nil {
-			err = fmt.Errorf("resumption answered with status %d", resp.StatusCode)
-		}
-		req.handleBroken(choice, call, err)
-		return choice, nil, nil, info, false
-	}
-	return choice, nil, nil, info, false
-}
-
 // endBroken ends a stream that cannot be resumed. If nothing was sent to the caller yet, it still gets an error
 // response.
 func (s *streamRelay) endBroken(result attemptResult) attemptResult {
@@ -185,6 +173,9 @@
 			return err
 		}
 		n, err := resp.Body.Read(buf)
+		if n > 0 && !s.silence.beginForward() {
+			return errTaken
+		}
 		timeout = s.req.gapTimeout()
 		if n > 0 {
 			if !s.req.detoured() {
@@ -207,6 +198,7 @@
 		if err != nil {
 			return err
 		}
+		s.silence.endForward(s.lastEvent())
 	}
 }
 
