origin, proxy: a stream taken up without naming its request is not joined from two versions

Callers saw (in a system like ours): streams that were taken up after all entries were killed at once held events of two software versions, with status 200. Here it happened to requests that name their last event and not the request that began the stream. Cause: such a request went to the only version that its entry sees. If the version that began the stream has just left, that is another one. An instance that has not seen as much asks the replicas; what nobody knows is refused as not run. A last event in requests to routes whose streams may not be resumed is looked at too. Builds before answer the new question with "no record", which counts as not known. Why it works: the question is which versions there were while the stream may have run, and it is answered by instances that have seen all of that time.

--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/pace"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
 )
 
 const (
@@ -20,6 +21,8 @@
 	sendDelay = 20 * time.Millisecond
 	// holderInterval is the interval at which it is checked whether the holders have changed.
 	holderInterval = 500 * time.Millisecond
+	// observeInterval is the interval at which the software versions of the endpoints are recorded.
+	observeInterval = 500 * time.Millisecond
 	// callTimeout bounds the time for which a caller waits for the instances asked, in each of two steps.
 	callTimeout = 150 * time.Millisecond
 	// sendTimeout bounds a call that sends records.
@@ -38,13 +41,15 @@
 var ErrNotKept = errors.New("the instance keeps no origins of streams")
 
 type (
-	// Message sends records to another instance, or asks it for one.
+	// Message sends records to another instance, or asks it for one, or for the only software version of Service within Horizon.
 	Message struct {
-		Records []Record `json:"records,omitempty"`
-		Find    *Key     `json:"find,omitempty"`
+		Records []Record      `json:"records,omitempty"`
+		Find    *Key          `json:"find,omitempty"`
+		Service string        `json:"service,omitempty"`
+		Horizon time.Duration `json:"horizon,omitempty"`
 	}
 
-	// Reply answers a message that asks for a record.
+	// Reply answers a message that asks for a record, or for a software version, which is then that of the origin.
 	Reply struct {
 		Origin Origin `json:"origin"`
 		Found  bool   `json:"found,omitempty"`
@@ -56,20 +61,22 @@
 	}
 
 	// Options configures a Keeper. Replicas returns the replicas of the log, the leader first; Entries the other entry instances, the
-	// nearest first.
+	// nearest first; Endpoints the present endpoints, and whether they are proven current.
 	Options struct {
-		Sender   Sender
-		Replicas func() []netip.AddrPort
-		Entries  func() []netip.AddrPort
-		Now      func() time.Time
-		Log      *zap.Logger
+		Sender    Sender
+		Replicas  func() []netip.AddrPort
+		Entries   func() []netip.AddrPort
+		Endpoints func(now time.Time) (endpoints map[string]roster.Endpoint, current bool)
+		Now       func() time.Time
+		Log       *zap.Logger
 	}
 
 	// Keeper holds the records of one instance, sends its own to replicas, and finds those of others.
 	Keeper struct {
-		opt   Options
-		mu    sync.Mutex
-		store *Store
+		opt     Options
+		mu      sync.Mutex
+		store   *Store
+		history *History
 		// own holds the records of streams that this instance served.
 		own    *Store
 		unsent []Record
@@ -84,7 +91,7 @@
 
 // New returns a keeper without records.
 func New(opt Options) *Keeper {
-	return &Keeper{opt: opt, store: NewStore(), own: NewStore(), wake: make(chan struct{}, 1), unableUntil: map[netip.AddrPort]time.Time{}}
+	return &Keeper{opt: opt, store: NewStore(), history: NewHistory(), own: NewStore(), wake: make(chan struct{}, 1), unableUntil: map[netip.AddrPort]time.Time{}}
 }
 
 // Check returns an error if a record is invalid or there are too many.
@@ -127,14 +134,54 @@
 	if reply := k.find(key); reply.Found {
 		return reply.Origin, true
 	}
-	reply := k.ask(ctx, key, k.opt.Replicas())
+	reply := k.ask(ctx, Message{Find: &key}, k.opt.Replicas())
 	if !reply.Found {
 		entries := k.opt.Entries()
-		reply = k.ask(ctx, key, entries[:min(len(entries), maxAsked)])
+		reply = k.ask(ctx, Message{Find: &key}, entries[:min(len(entries), maxAsked)])
 	}
 	return reply.Origin, reply.Found
 }
 
+// OnlyBuild returns the software version of a service if its endpoints had no other for a time up to now. It asks replicas if this
+// instance has not seen the endpoints for as long, and returns false if they had several versions or nobody knows.
+func (k *Keeper) OnlyBuild(ctx context.Context, service string, horizon time.Duration) (build string, known bool) {
+	if build, known = k.onlyBuild(service, horizon); known {
+		return build, true
+	}
+	reply := k.ask(ctx, Message{Service: service, Horizon: horizon}, k.opt.Replicas())
+	if !reply.Found {
+		return "", false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if seen, only := k.history.onlySeen(k.opt.Now(), service, horizon); !only || seen != reply.Origin.Build {
+		return "", false
+	}
+	return reply.Origin.Build, true
+}
+
+// onlyBuild is OnlyBuild by what this instance has seen.
+func (k *Keeper) onlyBuild(service string, horizon time.Duration) (build string, known bool) {
+	now := k.opt.Now()
+	k.observe(now)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.history.OnlyBuild(now, service, horizon)
+}
+
+// observe records the software versions of the present endpoints.
+func (k *Keeper) observe(now time.Time) {
+	endpoints, current := k.opt.Endpoints(now)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.history.Observe(now, endpoints, current)
+}
+
+// Watch records which software versions the endpoints have, until the context is done.
+func (k *Keeper) Watch(ctx context.Context) {
+	pace.Every(ctx, observeInterval, func() { k.observe(k.opt.Now()) })
+}
+
 // find returns the record of a key that this instance has.
 func (k *Keeper) find(key Key) (reply Reply) {
 	k.mu.Lock()
@@ -147,13 +194,13 @@
 }
 
 // ask asks several instances at once and returns the first reply with a record.
-func (k *Keeper) ask(ctx context.Context, key Key, instances []netip.AddrPort) Reply {
+func (k *Keeper) ask(ctx context.Context, msg Message, instances []netip.AddrPort) Reply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	replies := make(chan Reply, len(instances))
 	for _, addr := range instances {
 		go func() {
-			reply, err := k.opt.Sender.SendOrigins(ctx, addr, Message{Find: &key})
+			reply, err := k.opt.Sender.SendOrigins(ctx, addr, msg)
 			if err != nil {
 				k.opt.Log.Debug("instance not asked for the origin of a stream", zap.Stringer("peer", addr), zap.Error(err))
 			}
@@ -181,10 +228,14 @@
 		k.store.Add(now, rec)
 	}
 	k.mu.Unlock()
-	if msg.Find == nil {
-		return Reply{}
+	switch {
+	case msg.Find != nil:
+		return k.find(*msg.Find)
+	case msg.Service != "":
+		build, known := k.onlyBuild(msg.Service, msg.Horizon)
+		return Reply{Origin: Origin{Build: build}, Found: known}
 	}
-	return k.find(*msg.Find)
+	return Reply{}
 }
 
 // Len returns the number of records held.
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -252,8 +252,9 @@
 
 // localOrigins keeps the origins of the proxy's own streams.
 type localOrigins struct {
-	mu    sync.Mutex
-	store *origin.Store
+	mu        sync.Mutex
+	store     *origin.Store
+	endpoints func() map[string]roster.Endpoint
 }
 
 func (o *localOrigins) Record(rec origin.Record) {
@@ -268,6 +269,15 @@
 	return o.store.Find(time.Now(), key)
 }
 
+// OnlyBuild returns the software version of the present endpoints, of which the proxy's view has always been the same.
+func (o *localOrigins) OnlyBuild(_ context.Context, service string, horizon time.Duration) (build string, known bool) {
+	history, now := origin.NewHistory(), time.Now()
+	for at := now.Add(-horizon); !at.After(now); at = at.Add(time.Second) {
+		history.Observe(at, o.endpoints(), true)
+	}
+	return history.OnlyBuild(now, service, horizon)
+}
+
 // crashReports records crash reports.
 type crashReports chan string
 
@@ -311,6 +321,7 @@
 		h.chooser.endpoints = append(h.chooser.endpoints, newFakeEndpoint(t, respond))
 	}
 	h.configCurrent.Store(true)
+	h.origins.endpoints = func() map[string]roster.Endpoint { return h.currentView().Endpoints }
 	h.view = &ctrl.View{Table: table.New(testTable()), Crashes: map[string]ctrl.Crash{}, Endpoints: map[string]roster.Endpoint{}}
 	for i := range responders {
 		id := fmt.Sprint("e", i)
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -14,7 +14,6 @@
 	"github.com/greengagewheel/greengagewheel/internal/notice"
 	"github.com/greengagewheel/greengagewheel/internal/origin"
 	"github.com/greengagewheel/greengagewheel/internal/place"
-	"github.com/greengagewheel/greengagewheel/internal/roster"
 	"github.com/greengagewheel/greengagewheel/pkg/table"
 )
 
@@ -36,7 +35,7 @@
 // that is not known: an endpoint of another version would send what does not fit.
 func (req *request) findOrigin() *rejection {
 	resumes, after := req.caller.Resumes, req.caller.LastEventID
-	if resumes == "" && after == "" || req.route.Kind != table.Streaming || !req.route.Resumable {
+	if req.route.Kind != table.Streaming || after == "" && (resumes == "" || !req.route.Resumable) {
 		return nil
 	}
 	from, found := req.lookUpOrigin(resumes)
@@ -72,27 +71,15 @@
 }
 
 // lookUpOrigin finds the origin of the stream that the named request of the caller's organisation began. A caller that names none can
-// only be served while all endpoints of the service have the same version.
+// only be served if the endpoints of the service have had one version for as long as its stream may be old: streams end by the timeout of
+// their route.
 func (req *request) lookUpOrigin(requestID string) (origin.Origin, bool) {
+	ctx, origins := req.httpReq.Context(), req.proxy.opt.Origins
 	if requestID == "" {
-		build := onlyBuild(req.proxy.opt.View().Endpoints, req.service.Name)
-		return origin.Origin{Build: build}, build != ""
+		build, known := origins.OnlyBuild(ctx, req.service.Name, req.route.Timeout+takeUpMargin)
+		return origin.Origin{Build: build}, known
 	}
-	return req.proxy.opt.Origins.Find(req.httpReq.Context(), origin.KeyOf(req.organisationName(), requestID))
-}
-
-// onlyBuild returns the software version of the endpoints of a service, or an empty one if they have several or it is not known.
-func onlyBuild(endpoints map[string]roster.Endpoint, service string) (build string) {
-	for _, ep := range endpoints {
-		if ep.Service != service {
-			continue
-		}
-		if ep.Build == "" || build != "" && ep.Build != build {
-			return ""
-		}
-		build = ep.Build
-	}
-	return build
+	return origins.Find(ctx, origin.KeyOf(req.organisationName(), requestID))
 }
 
 // keepOrigin binds the stream to the software version of the endpoint whose first event goes to the caller, and records it for
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -67,6 +67,9 @@
 		Record(rec origin.Record)
 		// Find returns the origin of a request's stream, or false if that is not known.
 		Find(ctx context.Context, key origin.Key) (origin.Origin, bool)
+		// OnlyBuild returns the software version of a service's endpoints if they had no other for a time up to now, or false if they
+		// had or that is not known.
+		OnlyBuild(ctx context.Context, service string, horizon time.Duration) (build string, known bool)
 	}
 
 	// Options holds the dependencies of a proxy.
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/twitchtv/twirp"
@@ -12,6 +13,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/origin"
 	"github.com/greengagewheel/greengagewheel/internal/peer"
 	"github.com/greengagewheel/greengagewheel/internal/picker"
+	"github.com/greengagewheel/greengagewheel/internal/roster"
 )
 
 // originSender implements origin.Sender by calls between instances.
@@ -33,10 +35,16 @@
 
 func (r *Router) newOrigins() *origin.Keeper {
 	return origin.New(origin.Options{
-		Sender: originSender{r.links}, Replicas: r.otherReplicas, Entries: r.otherEntries, Now: clock.Now, Log: r.log,
+		Sender: originSender{r.links}, Replicas: r.otherReplicas, Entries: r.otherEntries, Endpoints: r.presentEndpoints, Now: clock.Now,
+		Log: r.log,
 	})
 }
 
+// presentEndpoints returns the endpoints in the configuration, and whether that is proven current.
+func (r *Router) presentEndpoints(now time.Time) (endpoints map[string]roster.Endpoint, current bool) {
+	return r.distributor.View().Endpoints, r.distributor.ConfigCurrent(now)
+}
+
 // otherReplicas returns the replicas of the log without this instance, the leader first and the others in an order that differs
 // between instances.
 func (r *Router) otherReplicas() []netip.AddrPort {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -389,6 +389,7 @@
 		r.wg.Go(func() { r.crashes.runParts(r.ctx) })
 	}
 	r.wg.Go(func() { r.distributor.Run(r.ctx) })
+	r.wg.Go(func() { r.origins.Watch(r.ctx) })
 	r.wg.Go(func() { r.watch(r.ctx) })
 	r.wg.Go(func() { r.updateGauges(r.ctx) })
 }
