proxy: a caller who left while another endpoint is sought is logged as such

Cause: a stream whose caller left during the search for another endpoint ended as "broken off". Change: it ends as "caller left", as before the handover.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -92,7 +92,12 @@
 				return s.endBroken(result)
 			}
 			req.excluded = append(req.excluded, choice.ID)
-			if next = req.seek(s.lastEvent()); next == nil {
+			next = req.seek(s.lastEvent())
+			switch {
+			case next == nil && req.callerGone():
+				req.finish("caller left", 0)
+				req.abort(attemptResult{done: true})
+			case next == nil:
 				return s.endBroken(result)
 			}
 		}
