proxy: a stream is bound to the software version of the process that wrote its first event

Callers saw: streams that began at a process which had started again under its endpoint's ID with another version, and was not announced yet, went on at the earlier version. Cause: a stream was bound to the version of the announced start. That the process at the other end is that start was proven for requests that go on with a stream only. Evidence: a process that tells start 8 where 7 is announced writes events 1 to 9 and breaks off; on the old code the entry goes on at an endpoint of the announced version. Change: once the first event of a resumable stream has gone to the caller, the entry asks the engine for its start, unless it was proven on the connection. The origin is recorded, and the stream may go on elsewhere, only if that is the announced one. Streams that begin at once share a query. Another instance that sends the request has the engine prove its start first. Engines that tell none are taken at their announcement, as before. Why it works: an engine that tells the announced start after the first event has written it, as a later process at the address would tell a later start. The stream does not wait. No format changes; instances of builds before record origins as they did.

--- a/internal/detour/call.go
+++ b/internal/detour/call.go
@@ -184,6 +184,14 @@
 	return nil
 }
 
+// ProvenStart returns 0, as the connection to the endpoint is that of the other instance.
+func (c *Call) ProvenStart() int64 {
+	return 0
+}
+
+// SetProvenStart does nothing.
+func (c *Call) SetProvenStart(int64) {}
+
 // Reused reports whether the call uses a connection that served earlier requests. That is not known here.
 func (c *Call) Reused() bool {
 	return false
--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -182,6 +182,16 @@
 	return call.conn.reused
 }
 
+// ProvenStart returns the start time that was proven on the call's connection, in Unix milliseconds, or 0.
+func (call *Call) ProvenStart() int64 {
+	return call.conn.ProvenStart()
+}
+
+// SetProvenStart records the start time of the process at the other end of the call's connection, in Unix milliseconds.
+func (call *Call) SetProvenStart(startedAtMS int64) {
+	call.conn.SetProvenStart(startedAtMS)
+}
+
 // Release ends a call whose response was read completely and returns the connection to its pool if it can be reused. If the response is
 // a failure, the request may be sent again, but not over this connection.
 func (call *Call) Release(now time.Time, resp *http.Response, idleTimeout time.Duration) {
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/greengagewheel/greengagewheel/internal/conns"
@@ -74,7 +75,7 @@
 		idleTimeout time.Duration
 		reused      bool
 		// provenStart is the start time of the endpoint's process as it told itself on this connection, or 0.
-		provenStart int64
+		provenStart atomic.Int64
 		// failed holds the hashes of the IDs of requests that were answered with a failure on this connection.
 		failed []uint64
 	}
@@ -166,6 +167,19 @@
 	p.idle[c.dest] = append(p.idle[c.dest], c)
 }
 
+// Keep returns a connection to its pool after a query.
+func (p *Pools) Keep(now time.Time, c *Conn) {
+	idleTimeout := c.idleTimeout
+	if idleTimeout <= 0 {
+		idleTimeout = defaultIdleTimeout
+	}
+	if c.setDeadline(time.Time{}) != nil {
+		_ = c.TCPConn.Close()
+		return
+	}
+	p.Put(now, c, idleTimeout)
+}
+
 // Reused reports whether the connection served earlier requests.
 func (c *Conn) Reused() bool {
 	return c.reused
@@ -174,12 +188,12 @@
 // ProvenStart returns the start time that SetProvenStart was called with, or 0. The process at the other end is the same for the life
 // of a connection.
 func (c *Conn) ProvenStart() int64 {
-	return c.provenStart
+	return c.provenStart.Load()
 }
 
-// SetProvenStart records the start time of the endpoint's process, in Unix milliseconds.
+// SetProvenStart records the start time of the endpoint's process, in Unix milliseconds. It may be called while the connection is used.
 func (c *Conn) SetProvenStart(startedAtMS int64) {
-	c.provenStart = startedAtMS
+	c.provenStart.Store(startedAtMS)
 }
 
 // Prune closes expired idle connections and those to endpoints for which inUse returns false.
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -43,6 +43,9 @@
 		SetReadTimeout(timeout time.Duration) error
 		// OnTimeout has fn called when the timeout passes while nothing is received. It returns how much longer to wait, or 0 to fail.
 		OnTimeout(fn func() time.Duration)
+		// ProvenStart returns the start time that the endpoint told on the connection, in Unix milliseconds, or 0.
+		ProvenStart() int64
+		SetProvenStart(startedAtMS int64)
 		// Reused reports whether a connection of this instance is used that served earlier requests.
 		Reused() bool
 		// Release ends an exchange whose response was read completely, Abort any other one.
@@ -99,7 +102,7 @@
 		req.sentAt = p.opt.Now()
 		call, err := detour.Start(req.httpReq.Context(), p.opt.Sender, via, &detour.Order{
 			RequestID: req.caller.ID, RunID: req.attemptID, From: p.opt.Name, EndpointID: choice.ID, Addr: choice.Addr,
-			StartedAtMS: choice.StartedAtMS, ProveStart: req.mustProveStart(), Method: req.httpReq.Method, Target: req.httpReq.RequestURI,
+			StartedAtMS: choice.StartedAtMS, ProveStart: req.mustProveStart() || req.mayBeginStream(), Method: req.httpReq.Method, Target: req.httpReq.RequestURI,
 			Host: req.httpReq.Host, Header: h, Left: left,
 		}, req.body)
 		unsent := new(detour.UnsentError)
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -83,8 +83,9 @@
 }
 
 // keepOrigin binds the stream to the software version of the endpoint whose first event goes to the caller, and records it for
-// requests that go on with the stream.
-func (req *request) keepOrigin(choice place.Choice) {
+// requests that go on with the stream. At an engine that has not told its start on the connection, it does so once the engine has: the
+// process that answers may have started under the ID of the announced one, with another version.
+func (req *request) keepOrigin(choice place.Choice, call exchange) {
 	if !req.route.Resumable {
 		return
 	}
@@ -98,11 +99,27 @@
 		return
 	}
 	req.build = from.Build
-	req.proxy.opt.Origins.Record(origin.Record{
-		Key: origin.KeyOf(req.organisationName(), req.caller.ID), Origin: from, Left: req.takeUpTime(),
+	key, left := origin.KeyOf(req.organisationName(), req.caller.ID), req.takeUpTime()
+	record := func() { req.proxy.opt.Origins.Record(origin.Record{Key: key, Origin: from, Left: left}) }
+	if req.service.Engine == nil || req.detoured() || call.ProvenStart() == choice.StartedAtMS {
+		req.proof = settledProof(true)
+		record()
+		return
+	}
+	dest := egress.Dest{ID: choice.ID, Addr: choice.Addr, StartedAtMS: choice.StartedAtMS}
+	req.proof = req.proxy.checkStart(dest, func(told bool) {
+		if told {
+			call.SetProvenStart(choice.StartedAtMS)
+		}
+		record()
 	})
 }
 
+// isOriginCertain reports whether the software version is known of the process that wrote the first event.
+func (req *request) isOriginCertain() bool {
+	return req.from.Certain(req.proxy.opt.View().Endpoints) && req.proof.wait(req.httpReq.Context())
+}
+
 // takeUpTime returns how long the caller may take up the stream.
 func (req *request) takeUpTime() time.Duration {
 	if req.caller.Deadline <= 0 {
@@ -129,33 +146,49 @@
 	return req.build != "" && req.service.Engine != nil
 }
 
+// mayBeginStream reports whether a stream of an engine may begin that can go on elsewhere.
+func (req *request) mayBeginStream() bool {
+	return req.route.Kind == table.Streaming && req.route.Resumable && req.service.Engine != nil
+}
+
 // proveStart returns an error if the process at the other end of a connection tells another start time than the chosen one, or
 // errStartUntold if it tells none. The latter is returned once in untoldFor, so that an engine that proves its start is tried first;
 // where there is none, the announced start has to do, as else no stream would go on at engines whose report is missing or slow.
 func (p *Proxy) proveStart(ctx context.Context, conn *egress.Conn, ep notice.Start) error {
-	peer := conn.RemoteAddr().String()
 	if conn.ProvenStart() == 0 {
 		if untoldAt, _ := p.startsUntold.Load(ep); p.isRecent(untoldAt) {
 			return nil
 		}
-		body, err := p.pools.Query(ctx, conn, p.opt.Dialect.StartTarget(), startQueryTimeout)
-		if err != nil {
-			if !isUnanswered(err) {
-				return err
-			}
-			return p.noteStartUntold(ep, err)
-		}
-		start, told, err := p.opt.Dialect.DecodeStart(body)
-		if err != nil {
-			return p.noteStartUntold(ep, fault.Wrap("decode start", peer, err))
-		}
-		if !told {
-			return nil
+		return p.queryStart(ctx, conn, ep)
+	}
+	return checkProvenStart(conn, ep)
+}
+
+// queryStart is proveStart for a process that is asked in any case.
+func (p *Proxy) queryStart(ctx context.Context, conn *egress.Conn, ep notice.Start) error {
+	body, err := p.pools.Query(ctx, conn, p.opt.Dialect.StartTarget(), startQueryTimeout)
+	if err != nil {
+		if !isUnanswered(err) {
+			return err
 		}
-		conn.SetProvenStart(start)
+		return p.noteStartUntold(ep, err)
+	}
+	start, told, err := p.opt.Dialect.DecodeStart(body)
+	if err != nil {
+		return p.noteStartUntold(ep, fault.Wrap("decode start", conn.RemoteAddr().String(), err))
 	}
+	if !told {
+		return nil
+	}
+	conn.SetProvenStart(start)
+	return checkProvenStart(conn, ep)
+}
+
+// checkProvenStart returns an error if the process at the other end of a connection has told another start than the announced one.
+func checkProvenStart(conn *egress.Conn, ep notice.Start) error {
 	if conn.ProvenStart() != ep.StartedAtMS {
-		return fault.Errorf("check start", peer, "the process started at %d, not at %d", conn.ProvenStart(), ep.StartedAtMS)
+		return fault.Errorf("check start", conn.RemoteAddr().String(), "the process started at %d, not at %d", conn.ProvenStart(),
+			ep.StartedAtMS)
 	}
 	return nil
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -111,6 +111,9 @@
 		// crashesSeen is the number of crashes reported, heldRequests that of requests refused for a part of their prompt.
 		crashesSeen  atomic.Int64
 		heldRequests atomic.Int64
+		startChecks  *startChecks
+		// startsAsked is the number of times that engines were asked for their start as streams began there.
+		startsAsked atomic.Int64
 		// originsUnknown is the number of requests refused as it is not known where their stream began.
 		originsUnknown atomic.Int64
 		// detoursMade is the number of requests sent by way of other instances, detoursRunning that of requests of others in progress.
@@ -156,6 +159,8 @@
 		// build is the software version that the stream is bound to, or empty; from is the endpoint that its first event came from.
 		build string
 		from  origin.Origin
+		// proof tells whether the first event came from the start of the endpoint that from names.
+		proof *startProof
 		// firstEventAt is the time of the first event of the current endpoint. sound is set once an answer went on.
 		firstEventAt time.Time
 		sound        bool
@@ -197,7 +202,7 @@
 func New(opt Options) *Proxy {
 	return &Proxy{
 		opt: opt, pools: egress.New(opt.Dialer), retryWindows: newRetryWindows(), notices: notice.New(), parts: newPartWatch(opt.Log),
-		links: newLinkWatch(opt.Log), detours: newDetours(),
+		links: newLinkWatch(opt.Log), detours: newDetours(), startChecks: newStartChecks(),
 		startedAt: opt.Now(),
 	}
 }
@@ -253,6 +258,11 @@
 	return p.originsUnknown.Load()
 }
 
+// StartsAsked returns how often this instance has asked engines for their start as streams began there.
+func (p *Proxy) StartsAsked() int64 {
+	return p.startsAsked.Load()
+}
+
 // StartDraining asks callers to close their connections. Requests are still served.
 func (p *Proxy) StartDraining() {
 	p.draining.Store(true)
--- /dev/null
+++ b/internal/proxy/startcheck.go
@@ -0,0 +1,132 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewheel/greengagewheel/internal/egress"
+	"github.com/greengagewheel/greengagewheel/internal/notice"
+)
+
+// startCheckTimeout bounds a check of an engine's start time, with a connection of its own.
+const startCheckTimeout = time.Second
+
+type (
+	// startChecks asks engines for their start time once streams have begun there. It is safe for concurrent use.
+	//
+	// An engine that tells the announced start after a stream's first event has written that event: a later process at its address
+	// would tell a later start, and an earlier one was gone before.
+	startChecks struct {
+		mu sync.Mutex
+		// waiting holds the proofs that are wanted by the next query to an engine; an entry without any means that a query is under way.
+		waiting map[notice.Start][]*startProof
+	}
+
+	// startProof is the answer to the question whether a stream began at the announced start of its engine. done is closed with the
+	// result. If that is so, onProven is called before; told is unset if the engine does not tell its start, so that the announced one
+	// has to do.
+	startProof struct {
+		done     chan struct{}
+		proven   bool
+		onProven func(told bool)
+	}
+)
+
+func newStartChecks() *startChecks {
+	return &startChecks{waiting: map[notice.Start][]*startProof{}}
+}
+
+// settledProof returns a proof whose result is known.
+func settledProof(proven bool) *startProof {
+	proof := &startProof{done: make(chan struct{}), proven: proven}
+	close(proof.done)
+	return proof
+}
+
+// wait waits briefly for the result and reports whether the start is proven.
+func (p *startProof) wait(ctx context.Context) bool {
+	timer := time.NewTimer(startQueryTimeout)
+	defer timer.Stop()
+	select {
+	case <-p.done:
+		return p.proven
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// settle sets the result.
+func (p *startProof) settle(proven, told bool) {
+	if p.proven = proven; proven {
+		p.onProven(told)
+	}
+	close(p.done)
+}
+
+// checkStart asks an engine for its start time, and calls onProven if it is the announced one, or if the engine does not tell any.
+func (p *Proxy) checkStart(dest egress.Dest, onProven func(told bool)) *startProof {
+	ep := notice.Start{ID: dest.ID, StartedAtMS: dest.StartedAtMS}
+	proof := &startProof{done: make(chan struct{}), onProven: onProven}
+	c := p.startChecks
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, running := c.waiting[ep]
+	c.waiting[ep] = append(c.waiting[ep], proof)
+	if !running {
+		go p.runStartChecks(dest, ep)
+	}
+	return proof
+}
+
+// runStartChecks queries an engine until no proof is wanted.
+func (p *Proxy) runStartChecks(dest egress.Dest, ep notice.Start) {
+	c := p.startChecks
+	for {
+		c.mu.Lock()
+		proofs := c.waiting[ep]
+		if len(proofs) == 0 {
+			delete(c.waiting, ep)
+			c.mu.Unlock()
+			return
+		}
+		c.waiting[ep] = nil
+		c.mu.Unlock()
+		told, err := p.askStart(dest, ep)
+		if err != nil {
+			p.opt.Log.Info("start of an engine not proven", zap.String("endpoint", ep.ID), zap.Int64("born", ep.StartedAtMS),
+				zap.Int("streams", len(proofs)), zap.Error(err))
+		}
+		for _, proof := range proofs {
+			proof.settle(err == nil, told)
+		}
+	}
+}
+
+// askStart returns an error unless an engine tells the announced start, or does not tell any; told is unset then.
+func (p *Proxy) askStart(dest egress.Dest, ep notice.Start) (told bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), startCheckTimeout)
+	defer cancel()
+	p.startsAsked.Add(1)
+	conn := p.pools.Idle(p.opt.Now(), dest, "")
+	if conn == nil {
+		if conn, err = p.pools.Dial(ctx, dest); err != nil {
+			return false, err
+		}
+	}
+	err = p.queryStart(ctx, conn, ep)
+	switch {
+	case errors.Is(err, errStartUntold):
+		_ = conn.Close()
+		return false, nil
+	case err != nil:
+		_ = conn.Close()
+		return false, err
+	}
+	p.pools.Keep(p.opt.Now(), conn)
+	return conn.ProvenStart() == ep.StartedAtMS, nil
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -46,8 +46,9 @@
 	fresh []byte
 	// anyEvent is set once the current endpoint has sent a complete event.
 	anyEvent bool
-	// choice is the current endpoint, silence the handover from it.
+	// choice is the current endpoint, call the exchange with it, silence the handover from it.
 	choice  place.Choice
+	call    exchange
 	silence *handover
 }
 
@@ -56,7 +57,7 @@
 	start time.Time) attemptResult {
 	s := &streamRelay{req: req, controller: http.NewResponseController(req.writer), header: endToEnd(resp.Header), lastID: -1}
 	for {
-		s.choice = choice
+		s.choice, s.call = choice, call
 		s.silence = req.watchSilence(choice, call, s.lastEvent(), s.mayResume)
 		err := s.relay(call, resp, req.firstResponseTimeout(start, &choice), func() {
 			req.proxy.opt.Chooser.RecordFirstAnswer(req.attemptID, req.proxy.opt.Now().Sub(start))
@@ -135,7 +136,7 @@
 // be certain.
 func (s *streamRelay) mayResume() bool {
 	req := s.req
-	if s.headerSent && !req.from.Certain(req.proxy.opt.View().Endpoints) {
+	if s.headerSent && !req.isOriginCertain() {
 		return false
 	}
 	now := req.proxy.opt.Now()
@@ -159,7 +160,7 @@
 		return
 	}
 	s.headerSent = true
-	s.req.keepOrigin(s.choice)
+	s.req.keepOrigin(s.choice, s.call)
 	h := s.req.writer.Header()
 	for k, v := range s.header {
 		h[k] = v
