relay, entry: a run is bound to the software version that its engine tells

Cause: as behind routes, a run was bound to the announced version, and a connection that was replaced by a new one to the same address was not checked at all. Change: engines tell their version with each answer (X-Build). A run is bound to it, and nothing is taken of an answer of another version. Without the header the announced version counts, as in builds before. Measured: TestFetchGoesOnAtRestartedEngine passes; the check is new. The binding in the entry is not tested by itself.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -296,6 +296,9 @@
 // streamRun sends the tokens of a run from the offset on as server-sent events, each with its position in the run as event ID.
 func (e *Engine) streamRun(w http.ResponseWriter, httpReq *http.Request, r *run, req chat.Request, isChat bool, offset int) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if e.opt.Build != "" {
+		w.Header().Set("X-Build", e.opt.Build)
+	}
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
 	_ = controller.Flush()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -19,8 +19,16 @@
 // the problem that ended it.
 func (e *Entry) streamFrom(ctx context.Context, j *job, decision sched.Decision, grant *broker.Grant) (done bool, p *problem) {
 	j.sentAt, j.endpointFirstTokenTime = time.Now(), 0
-	err := e.relay.Fetch(ctx, decision.Target.Addr, j.stream, j.run.tokensReceived(), func(ev relay.Event) error {
-		j.bind(decision.Target.Build)
+	// The engine at the address may have started again since its announcement, also between two connections.
+	stream, build := j.stream, decision.Target.Build
+	stream.CheckBuild = func(told string) bool {
+		if told != "" && !j.bound {
+			build = told
+		}
+		return told == "" || !j.bound || told == j.build
+	}
+	err := e.relay.Fetch(ctx, decision.Target.Addr, stream, j.run.tokensReceived(), func(ev relay.Event) error {
+		j.bind(build)
 		j.recordToken(time.Now(), ev, grant)
 		j.run.addEvent(ev)
 		return nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -147,3 +147,48 @@
 		So(errors.Is(err, ErrUnsent), ShouldBeTrue)
 	})
 }
+
+// TestFetchGoesOnAtRestartedEngine guards against a stream that goes on, over a new connection, at a process of another software version that
+// has started at the engine's address.
+func TestFetchGoesOnAtRestartedEngine(t *testing.T) {
+	answer := func(build, text string) func(http.ResponseWriter, *http.Request) {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			if build != "" {
+				w.Header().Set(headerBuild, build)
+			}
+			_, _ = io.WriteString(w, text)
+		}
+	}
+	fetch := func(second string) (string, error) {
+		to, _ := fakeEndpoint(t, answer("v1", event(1)+event(2)), answer(second, event(3)+event(4)+endOfStream))
+		var b strings.Builder
+		began := ""
+		stream := Stream{
+			ID: "c:1", Path: "/v1/chat/completions", Body: []byte("{}"),
+			FirstTokenTimeout: 500 * time.Millisecond, TokenGapTimeout: 300 * time.Millisecond,
+			CheckBuild: func(build string) bool {
+				if began == "" {
+					began = build
+				}
+				return build == "" || build == began
+			},
+		}
+		err := New().Fetch(context.Background(), to, stream, 0, func(e Event) error {
+			b.WriteString(e.Text)
+			return nil
+		})
+		return b.String(), err
+	}
+	for _, same := range []string{"v1", ""} {
+		Convey("the stream goes on at version "+same, t, func() {
+			text, err := fetch(same)
+			So(err, ShouldBeNil)
+			So(text, ShouldEqual, "t1 t2 t3 t4 ")
+		})
+	}
+	Convey("nothing is taken of the answer of another version", t, func() {
+		text, err := fetch("v2")
+		So(errors.Is(err, ErrOtherBuild), ShouldBeTrue)
+		So(text, ShouldEqual, "t1 t2 ")
+	})
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -27,6 +27,8 @@
 	// maxReconnects is the number of consecutive new connections without progress before an endpoint is given up.
 	maxReconnects = 2
 	cancelTimeout = time.Second
+	// headerBuild is the header in which engines tell the version of their software.
+	headerBuild = "X-Build"
 	// maxRefusalBytes bounds the body of a refusal.
 	maxRefusalBytes = 64 << 10
 )
@@ -36,6 +38,8 @@
 	ErrUnsent = errors.New("endpoint not reached")
 	// ErrBroken means that a connection broke while a request was in progress on it.
 	ErrBroken = errors.New("connection broke")
+	// ErrOtherBuild means that another software version answers than the one that began the stream.
+	ErrOtherBuild = errors.New("the endpoint has another software version than the one that began the stream")
 	// ErrSilent means that an endpoint stayed silent, even on new connections.
 	ErrSilent     = errors.New("endpoint is silent")
 	errStreamDone = errors.New("stream is done")
@@ -57,6 +61,9 @@
 		Path     string
 		Body     []byte
 		Priority int
+		// CheckBuild, if set, is called with the software version that an engine tells with its answer, which is empty if it tells none.
+		// If it returns false, nothing is taken of the answer.
+		CheckBuild func(build string) bool
 		// FirstTokenTimeout bounds the wait for the first event, TokenGapTimeout the wait between events.
 		FirstTokenTimeout time.Duration
 		TokenGapTimeout   time.Duration
@@ -103,7 +110,7 @@
 
 // Fetch streams a generation from an engine into sink, starting after the token at offset. A connection that breaks or
 // goes silent is replaced by a new one to the same engine, which resumes at the last offset. The error is ErrUnsent,
-// ErrBroken, ErrSilent or a *Refusal, or that of ctx if it ended; ErrBroken wraps ErrUnsent if the engine could not be
+// ErrBroken, ErrSilent, ErrOtherBuild or a *Refusal, or that of ctx if it ended; ErrBroken wraps ErrUnsent if the engine could not be
 // reached again.
 func (r *Relay) Fetch(ctx context.Context, to netip.AddrPort, stream Stream, offset int, sink func(Event) error) error {
 	failures := 0
@@ -118,7 +125,7 @@
 			return ctx.Err()
 		}
 		var refusal *Refusal
-		if errors.As(err, &refusal) {
+		if errors.As(err, &refusal) || errors.Is(err, ErrOtherBuild) {
 			return err
 		}
 		if reached > offset {
@@ -166,6 +173,9 @@
 		}
 		return offset, fault.Wrap("stream", to.String(), refusal)
 	}
+	if stream.CheckBuild != nil && !stream.CheckBuild(resp.Header.Get(headerBuild)) {
+		return offset, fault.Wrap("stream", to.String(), ErrOtherBuild)
+	}
 	offset, err = readEvents(resp.Body, offset, func(e Event) error {
 		resetTimeout(stream.TokenGapTimeout)
 		return sink(e)
