origin, proxy: a stream of a proven start goes on after its endpoint came back with another version

Callers saw: after an endpoint had gone down and come back under its ID with another software version, its streams were refused though their version still served. Cause: the record of a stream did not say whether the announced start had written it, so that a later start of the ID with another version made it uncertain. Change: the record says whether the engine told its start once the stream had begun. Builds before ignore the field and decide as before.

--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -82,6 +82,9 @@
 	Convey("it is not if the endpoint has started again with another version, or tells none", t, func() {
 		So(from.Certain(endpoints(6, "v2")), ShouldBeFalse)
 		So(from.Certain(endpoints(6, "V1")), ShouldBeFalse)
+		proven := from
+		proven.Proven = true
+		So(proven.Certain(endpoints(6, "v2")), ShouldBeTrue)
 		unknown := Origin{EndpointID: "e", StartedAtMS: 5}
 		So(unknown.Certain(endpoints(5, "")), ShouldBeFalse)
 	})
--- a/internal/origin/store.go
+++ b/internal/origin/store.go
@@ -21,12 +21,14 @@
 	// Key identifies a request of one organisation.
 	Key [keyBytes]byte
 
-	// Origin is the endpoint that a stream comes from: its software version, its service, and the start of it that was chosen.
+	// Origin is the endpoint that a stream comes from: its software version, its service, and the start of it that was chosen. Proven is set
+	// if the endpoint told that start after the stream began.
 	Origin struct {
 		Build       string `json:"b"`
 		Service     string `json:"v"`
 		EndpointID  string `json:"i"`
 		StartedAtMS int64  `json:"s"`
+		Proven      bool   `json:"p,omitempty"`
 	}
 
 	// Record tells the origin of a request's stream. Left is the time for which the stream may still be taken up.
@@ -68,11 +70,11 @@
 	return nil
 }
 
-// Certain reports whether the stream is known to come from a process of the origin's software version. It may come from a later start
-// of the endpoint that was not known when the endpoint was chosen; that matters only if its version is another one.
+// Certain reports whether the stream is known to come from a process of the origin's software version. Unless its start is proven, it may
+// come from a later start of the endpoint that was not known when the endpoint was chosen; that matters only if its version is another one.
 func (o *Origin) Certain(endpoints map[string]roster.Endpoint) bool {
 	known, ok := endpoints[o.EndpointID]
-	return o.Build != "" && (!ok || known.StartedAtMS <= o.StartedAtMS || known.Build == o.Build)
+	return o.Build != "" && (o.Proven || !ok || known.StartedAtMS <= o.StartedAtMS || known.Build == o.Build)
 }
 
 // NewStore returns an empty store.
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -99,11 +99,11 @@
 		return
 	}
 	req.build = from.Build
-	key, left := origin.KeyOf(req.organisationName(), req.caller.ID), req.takeUpTime()
-	record := func() { req.proxy.opt.Origins.Record(origin.Record{Key: key, Origin: from, Left: left}) }
+	record := origin.Record{Key: origin.KeyOf(req.organisationName(), req.caller.ID), Origin: from, Left: req.takeUpTime()}
 	if req.service.Engine == nil || req.detoured() || call.ProvenStart() == choice.StartedAtMS {
-		req.proof = settledProof(true)
-		record()
+		record.Origin.Proven = call.ProvenStart() != 0
+		req.proof = settledProof(record.Origin.Proven)
+		req.proxy.opt.Origins.Record(record)
 		return
 	}
 	dest := egress.Dest{ID: choice.ID, Addr: choice.Addr, StartedAtMS: choice.StartedAtMS}
@@ -111,13 +111,18 @@
 		if told {
 			call.SetProvenStart(choice.StartedAtMS)
 		}
-		record()
+		record.Origin.Proven = told
+		req.proxy.opt.Origins.Record(record)
 	})
 }
 
 // isOriginCertain reports whether the software version is known of the process that wrote the first event.
 func (req *request) isOriginCertain() bool {
-	return req.from.Certain(req.proxy.opt.View().Endpoints) && req.proof.wait(req.httpReq.Context())
+	if req.from.Build == "" {
+		return false
+	}
+	accepted, told := req.proof.wait(req.httpReq.Context())
+	return accepted && (told || req.from.Certain(req.proxy.opt.View().Endpoints))
 }
 
 // takeUpTime returns how long the caller may take up the stream.
--- a/internal/proxy/startcheck.go
+++ b/internal/proxy/startcheck.go
@@ -27,12 +27,13 @@
 	}
 
 	// startProof is the answer to the question whether a stream began at the announced start of its engine. done is closed with the
-	// result. If that is so, onProven is called before; told is unset if the engine does not tell its start, so that the announced one
-	// has to do.
+	// result. If accepted is set, onAccepted was called before; told is unset if the engine does not tell its start, so that the
+	// announced one has to do.
 	startProof struct {
-		done     chan struct{}
-		proven   bool
-		onProven func(told bool)
+		done       chan struct{}
+		accepted   bool
+		told       bool
+		onAccepted func(told bool)
 	}
 )
 
@@ -40,38 +41,38 @@
 	return &startChecks{waiting: map[notice.Start][]*startProof{}}
 }
 
-// settledProof returns a proof whose result is known.
-func settledProof(proven bool) *startProof {
-	proof := &startProof{done: make(chan struct{}), proven: proven}
+// settledProof returns a proof whose start is accepted.
+func settledProof(told bool) *startProof {
+	proof := &startProof{done: make(chan struct{}), accepted: true, told: told}
 	close(proof.done)
 	return proof
 }
 
-// wait waits briefly for the result and reports whether the start is proven.
-func (p *startProof) wait(ctx context.Context) bool {
+// wait waits briefly for the result. It reports whether the announced start is accepted, and whether the engine told it.
+func (p *startProof) wait(ctx context.Context) (accepted, told bool) {
 	timer := time.NewTimer(startQueryTimeout)
 	defer timer.Stop()
 	select {
 	case <-p.done:
-		return p.proven
+		return p.accepted, p.told
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return false
+	return false, false
 }
 
 // settle sets the result.
-func (p *startProof) settle(proven, told bool) {
-	if p.proven = proven; proven {
-		p.onProven(told)
+func (p *startProof) settle(accepted, told bool) {
+	if p.accepted, p.told = accepted, told; accepted {
+		p.onAccepted(told)
 	}
 	close(p.done)
 }
 
-// checkStart asks an engine for its start time, and calls onProven if it is the announced one, or if the engine does not tell any.
-func (p *Proxy) checkStart(dest egress.Dest, onProven func(told bool)) *startProof {
+// checkStart asks an engine for its start time, and calls onAccepted if it is the announced one, or if the engine does not tell any.
+func (p *Proxy) checkStart(dest egress.Dest, onAccepted func(told bool)) *startProof {
 	ep := notice.Start{ID: dest.ID, StartedAtMS: dest.StartedAtMS}
-	proof := &startProof{done: make(chan struct{}), onProven: onProven}
+	proof := &startProof{done: make(chan struct{}), onAccepted: onAccepted}
 	c := p.startChecks
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/proxy/startcheck_test.go
+++ b/internal/proxy/startcheck_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -168,3 +169,33 @@
 		}
 	})
 }
+
+// TestStreamOfProvenStartIsRefused guards against streams that are refused, or cut, though their version still serves, as their endpoint has
+// started again under its ID with another one since they began.
+func TestStreamOfProvenStartIsRefused(t *testing.T) {
+	const pause = 20 * time.Millisecond
+	// restart announces another start of e0, with another version.
+	restart := func(h *harness) {
+		next := *h.view
+		next.Endpoints = maps.Clone(h.view.Endpoints)
+		ep := next.Endpoints["e0"]
+		ep.StartedAtMS, ep.Build = announcedStart+1, "v2"
+		next.Endpoints["e0"] = ep
+		h.newView.Store(&next)
+	}
+	for told, goesOn := range map[string]bool{"7": true, "untold": false} {
+		Convey("a stream whose engine told "+told+" goes on within its answer, and over its caller's tries: "+strconv.FormatBool(goesOn), t, func() {
+			h := newEngineHarness(t, engine(tells(told), slowly(25, pause)), engine(tells("7"), streamUpTo(30, 0)))
+			h.firstTo()
+			time.AfterFunc(10*pause, func() { restart(h) })
+			resp := h.send(http.MethodPost, "/resume/", "x", "Id", "first")
+			So(resp.complete, ShouldEqual, goesOn)
+			if goesOn {
+				So(resp.body, ShouldEqual, eventRange(1, 30))
+			}
+			h.chooser.next.Store(1)
+			resp = h.send(http.MethodPost, "/resume/", "x", "Continues", "first", "After", "24")
+			So(resp.status == http.StatusOK, ShouldEqual, goesOn)
+		})
+	}
+}
