origin: replicas that have started again get the origins of all streams

Callers saw: after all replicas had been killed and were back within a second, streams could not be taken up once their entry was lost. Cause: an entry takes a replica for a holder of its records until a call fails. One that starts again between two calls has forgotten them. Change: replies tell the epoch of the replica's process; if it changes, all records are sent again. Where there is nothing to send for a second, an empty message asks for it. Replicas of builds before tell no epoch and are treated as before; entries of builds before ignore it. TestStartedEntryGuessesTheVersion no longer races with itself.

--- a/internal/origin/history_test.go
+++ b/internal/origin/history_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,28 +84,36 @@
 // began a stream.
 func TestStartedEntryGuessesTheVersion(t *testing.T) {
 	const horizon = 10 * time.Second
-	now := start
+	var elapsed atomic.Int64
+	now := func() time.Time { return start.Add(time.Duration(elapsed.Load())) }
 	n := &network{keepers: map[netip.AddrPort]*Keeper{}, cut: map[netip.AddrPort]bool{}, older: map[netip.AddrPort]bool{}}
-	endpoints := map[netip.AddrPort]map[string]roster.Endpoint{}
+	var endpoints sync.Map
 	add := func(i int) {
-		self := addr(i)
-		n.keepers[self] = New(Options{
-			Sender: n, Now: func() time.Time { return now }, Log: zap.NewNop(),
-			Replicas:  func() []netip.AddrPort { return []netip.AddrPort{addr(1), addr(2)} },
-			Entries:   func() []netip.AddrPort { return nil },
-			Endpoints: func(time.Time) (map[string]roster.Endpoint, bool) { return endpoints[self], true },
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.keepers[addr(i)] = New(Options{
+			Sender: n, Now: now, Log: zap.NewNop(),
+			Replicas: func() []netip.AddrPort { return []netip.AddrPort{addr(1), addr(2)} },
+			Entries:  func() []netip.AddrPort { return nil },
+			Endpoints: func(time.Time) (map[string]roster.Endpoint, bool) {
+				present, ok := endpoints.Load(i)
+				if !ok {
+					present, _ = endpoints.Load(1)
+				}
+				return present.(map[string]roster.Endpoint), true
+			},
 		})
 	}
 	pass := func(length time.Duration, builds ...string) {
-		for end := now.Add(length); now.Before(end); now = now.Add(500 * time.Millisecond) {
-			for self, keeper := range n.keepers {
-				endpoints[self] = endpointsOf(builds...)
-				keeper.observe(now)
+		endpoints.Store(1, endpointsOf(builds...))
+		for range length / (500 * time.Millisecond) {
+			for _, keeper := range n.keepers {
+				keeper.observe(now())
 			}
+			elapsed.Add(int64(500 * time.Millisecond))
 		}
 	}
 	only := func(i int) string {
-		endpoints[addr(i)] = endpoints[addr(1)]
 		build, _ := n.keepers[addr(i)].OnlyBuild(context.Background(), "m", horizon)
 		return build
 	}
@@ -114,7 +124,9 @@
 		add(11)
 		So(only(11), ShouldEqual, "v1")
 		Convey("of which one may be of a build that does not know the question", func() {
+			n.mu.Lock()
 			n.older[addr(1)] = true
+			n.mu.Unlock()
 			So(only(11), ShouldEqual, "v1")
 		})
 		Convey("and does not know it if a version has just left, come, or no replica has seen enough", func() {
@@ -130,10 +142,11 @@
 			add(2)
 			add(12)
 			So(only(12), ShouldBeEmpty)
-			endpoints[addr(12)] = endpointsOf("v3")
 			pass(12*time.Second, "v2")
 			add(12)
-			endpoints[addr(12)] = endpointsOf("v3")
+			So(only(12), ShouldEqual, "v2")
+			add(12)
+			endpoints.Store(12, endpointsOf("v3"))
 			build, _ := n.keepers[addr(12)].OnlyBuild(context.Background(), "m", horizon)
 			So(build, ShouldBeEmpty)
 		})
--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -21,6 +23,8 @@
 	sendDelay = 20 * time.Millisecond
 	// holderInterval is the interval at which it is checked whether the holders have changed.
 	holderInterval = 500 * time.Millisecond
+	// pingInterval is the longest time between two messages to the holders, which tell whether they have started again.
+	pingInterval = time.Second
 	// observeInterval is the interval at which the software versions of the endpoints are recorded.
 	observeInterval = 500 * time.Millisecond
 	// callTimeout bounds the time for which a caller waits for the instances asked, in each of two steps.
@@ -53,6 +57,8 @@
 	Reply struct {
 		Origin Origin `json:"origin"`
 		Found  bool   `json:"found,omitempty"`
+		// Epoch is another number after each start of the instance, or 0 if its build tells none.
+		Epoch uint64 `json:"epoch,omitempty"`
 	}
 
 	// Sender sends messages to other instances. Its error is ErrNotKept if the other instance does not know such messages.
@@ -82,8 +88,11 @@
 		unsent []Record
 		// wake is written to when there are unsent records.
 		wake chan struct{}
-		// sentTo lists the replicas that hold the records of this instance.
+		// sentTo lists the replicas that hold the records of this instance, epochs holds the epochs in which they took them.
 		sentTo []netip.AddrPort
+		epochs map[netip.AddrPort]uint64
+		// epoch is that of this instance.
+		epoch uint64
 		// unableUntil holds the replicas that keep no records, with the time until which they get none.
 		unableUntil map[netip.AddrPort]time.Time
 	}
@@ -91,7 +100,10 @@
 
 // New returns a keeper without records.
 func New(opt Options) *Keeper {
-	return &Keeper{opt: opt, store: NewStore(), history: NewHistory(), own: NewStore(), wake: make(chan struct{}, 1), unableUntil: map[netip.AddrPort]time.Time{}}
+	return &Keeper{
+		opt: opt, store: NewStore(), history: NewHistory(), own: NewStore(), wake: make(chan struct{}, 1),
+		unableUntil: map[netip.AddrPort]time.Time{}, epochs: map[netip.AddrPort]uint64{}, epoch: 1 + rand.Uint64N(math.MaxUint64),
+	}
 }
 
 // Check returns an error if a record is invalid or there are too many.
@@ -222,6 +234,12 @@
 
 // Serve handles a message of another instance.
 func (k *Keeper) Serve(msg Message) Reply {
+	reply := k.serve(msg)
+	reply.Epoch = k.epoch
+	return reply
+}
+
+func (k *Keeper) serve(msg Message) Reply {
 	k.mu.Lock()
 	now := k.opt.Now()
 	for _, rec := range msg.Records {
@@ -245,12 +263,14 @@
 	return k.own.Len() + k.store.Len()
 }
 
-// Run sends new records to the leader and another replica until the context is done, and all records to those that become holders.
+// Run sends new records to the leader and another replica until the context is done, and all records to those that become holders, or
+// start again: these are found by an empty message where there is nothing else to send.
 func (k *Keeper) Run(ctx context.Context) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	check := time.NewTicker(holderInterval)
 	defer check.Stop()
+	var sentAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -259,19 +279,29 @@
 			pace.Sleep(ctx, sendDelay)
 		case <-check.C:
 		}
+		now := k.opt.Now()
 		to, fresh, unsent, all := k.takeUnsent()
+		checkHolders := now.Sub(sentAt) >= pingInterval && k.hasRecords(now)
 		for _, addr := range to {
 			records := unsent
 			if slices.Contains(fresh, addr) {
 				records = all
 			}
-			if len(records) > 0 {
+			if len(records) > 0 || checkHolders {
+				sentAt = now
 				wg.Go(func() { k.send(ctx, addr, records) })
 			}
 		}
 	}
 }
 
+// hasRecords reports whether this instance has served streams that may still be taken up.
+func (k *Keeper) hasRecords(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.own.All(now, 1)) > 0
+}
+
 // takeUnsent returns the replicas that hold the records of this instance, those of them that are new, the records that were not
 // sent yet, and, if there are new holders, all records.
 func (k *Keeper) takeUnsent() (to, fresh []netip.AddrPort, unsent, all []Record) {
@@ -296,13 +326,14 @@
 	return to, fresh, unsent, all
 }
 
-// send sends records to a replica. After a failure, the replica gets all records with the next ones; if it keeps none, another one
-// gets them at once.
+// send sends records to a replica. After a failure, the replica gets all records with the next ones; if it has started again, it gets them
+// at once, and if it keeps none, another one does.
 func (k *Keeper) send(ctx context.Context, to netip.AddrPort, records []Record) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	_, err := k.opt.Sender.SendOrigins(ctx, to, Message{Records: records})
+	reply, err := k.opt.Sender.SendOrigins(ctx, to, Message{Records: records})
 	if err == nil {
+		k.noteEpoch(to, reply.Epoch)
 		return
 	}
 	k.opt.Log.Debug("origins of streams not sent", zap.Stringer("peer", to), zap.Int("records", len(records)), zap.Error(err))
@@ -314,3 +345,17 @@
 		k.wakeUp()
 	}
 }
+
+// noteEpoch has all records sent to a holder that has started again since it took some.
+func (k *Keeper) noteEpoch(holder netip.AddrPort, epoch uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before := k.epochs[holder]
+	k.epochs[holder] = epoch
+	if before == 0 || epoch == before {
+		return
+	}
+	k.opt.Log.Info("holder of the origins of streams has started again", zap.Stringer("peer", holder), zap.Int("records", k.own.Len()))
+	k.sentTo = slices.DeleteFunc(k.sentTo, func(addr netip.AddrPort) bool { return addr == holder })
+	k.wakeUp()
+}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -155,6 +155,15 @@
 	return n
 }
 
+// restart replaces instances by new ones that know nothing.
+func (n *network) restart(instances ...int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, i := range instances {
+		n.keepers[addr(i)] = New(n.keepers[addr(i)].opt)
+	}
+}
+
 func (n *network) find(i int, id string) string {
 	from, _ := n.keepers[addr(i)].Find(context.Background(), KeyOf("org", id))
 	return from.Build
@@ -222,6 +231,21 @@
 		n.setCut(11, true)
 		So(n.find(12, "a"), ShouldEqual, "v1")
 	})
+	Convey("replicas that have started again, without a call that failed, get all records", t, func() {
+		n := newNetwork(t, 2)
+		n.keepers[addr(11)].Record(record("a", "v1", time.Minute))
+		time.Sleep(5 * sendDelay)
+		for _, quiet := range []bool{false, true} {
+			n.restart(1, 2, 3)
+			if !quiet {
+				n.keepers[addr(11)].Record(record("b", "v1", time.Minute))
+			}
+			time.Sleep(pingInterval + 2*holderInterval)
+			n.setCut(11, true)
+			So(n.find(12, "a"), ShouldEqual, "v1")
+			n.setCut(11, false)
+		}
+	})
 	Convey("what nobody knows is not found, within twice the timeout", t, func() {
 		n := newNetwork(t, 3)
 		began := time.Now()
