origin: the origin of a stream is sent at once if none was sent just before

Cause: each record waited 20 ms for others to be sent with, and was lost with an entry that was killed meanwhile. Change: the delay is counted from the message before, so that only records that follow one another closely wait.

--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// sendDelay is how long a new record waits for others to be sent with. An entry instance that is lost earlier loses it.
+	// sendDelay is the time between two messages with new records, which wait for it. An entry instance that is lost meanwhile loses them.
 	sendDelay = 20 * time.Millisecond
 	// holderInterval is the interval at which it is checked whether the holders have changed.
 	holderInterval = 500 * time.Millisecond
@@ -276,7 +276,7 @@
 		case <-ctx.Done():
 			return
 		case <-k.wake:
-			pace.Sleep(ctx, sendDelay)
+			pace.Sleep(ctx, sendDelay-k.opt.Now().Sub(sentAt))
 		case <-check.C:
 		}
 		now := k.opt.Now()
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,11 +99,16 @@
 	// older are the instances of builds that know no origins.
 	older map[netip.AddrPort]bool
 	asked []netip.AddrPort
+	// sent is the number of messages with records.
+	sent atomic.Int64
 }
 
 func (n *network) SendOrigins(_ context.Context, to netip.AddrPort, msg Message) (reply Reply, err error) {
 	n.mu.Lock()
 	keeper, cut, older := n.keepers[to], n.cut[to], n.older[to]
+	if len(msg.Records) > 0 {
+		n.sent.Add(1)
+	}
 	if msg.Find != nil {
 		n.asked = append(n.asked, to)
 	}
@@ -187,6 +193,29 @@
 		n.setCut(1, true)
 		So(n.find(13, "a"), ShouldEqual, "v1")
 	})
+	Convey("a record is sent at once, those that follow shortly after wait for one another", t, func() {
+		n := newNetwork(t, 2)
+		fastest := time.Hour
+		for i := range 5 {
+			before, began := n.sent.Load(), time.Now()
+			n.keepers[addr(11)].Record(record(fmt.Sprint("a", i), "v1", time.Minute))
+			for n.sent.Load() == before && time.Since(began) < 5*sendDelay {
+				time.Sleep(sendDelay / 20)
+			}
+			fastest = min(fastest, time.Since(began))
+			time.Sleep(2 * sendDelay)
+		}
+		So(fastest, ShouldBeLessThan, sendDelay/2)
+		before, began := n.sent.Load(), time.Now()
+		for i := range 50 {
+			n.keepers[addr(11)].Record(record(fmt.Sprint("r", i), "v1", time.Minute))
+			time.Sleep(sendDelay / 20)
+		}
+		So(n.sent.Load()-before, ShouldBeLessThanOrEqualTo, holders*(2+int64(time.Since(began)/sendDelay)))
+		time.Sleep(5 * sendDelay)
+		n.setCut(11, true)
+		So(n.find(12, "r49"), ShouldEqual, "v1")
+	})
 	Convey("without any replica, the other entries are asked", t, func() {
 		n := newNetwork(t, 3)
 		for i := 1; i <= 3; i++ {
