proxy, origin: an engine without room for a connection is asked for its start again

Cause: a check of an engine's start that failed for its connection, as at an engine with all connections taken, left the stream without an origin. And a replica of a build that tells no epoch, replaced by one that does, was not found to have started again. Change: an engine that did not tell another start is asked up to three times, 0.2 s apart. A change of the epoch from none counts. Measured: the new part of TestStreamBeganAtUnannouncedStart passes; the change of the epoch from none is not tested by itself.

--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -350,9 +350,9 @@
 func (k *Keeper) noteEpoch(holder netip.AddrPort, epoch uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	before := k.epochs[holder]
+	before, known := k.epochs[holder]
 	k.epochs[holder] = epoch
-	if before == 0 || epoch == before {
+	if !known || epoch == before {
 		return
 	}
 	k.opt.Log.Info("holder of the origins of streams has started again", zap.Stringer("peer", holder), zap.Int("records", k.own.Len()))
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -28,8 +28,12 @@
 	defaultTakeUpTime = time.Minute
 )
 
-// errStartUntold means that an engine gave no usable report of its start time.
-var errStartUntold = errors.New("the engine does not tell its start time")
+var (
+	// errStartUntold means that an engine gave no usable report of its start time.
+	errStartUntold = errors.New("the engine does not tell its start time")
+	// errOtherStart means that an engine told another start than the announced one.
+	errOtherStart = errors.New("the process started")
+)
 
 // findOrigin finds the software version at which the stream began that the request goes on with, if any. It returns a rejection if
 // that is not known: an endpoint of another version would send what does not fit.
@@ -192,8 +196,7 @@
 // checkProvenStart returns an error if the process at the other end of a connection has told another start than the announced one.
 func checkProvenStart(conn *egress.Conn, ep notice.Start) error {
 	if conn.ProvenStart() != ep.StartedAtMS {
-		return fault.Errorf("check start", conn.RemoteAddr().String(), "the process started at %d, not at %d", conn.ProvenStart(),
-			ep.StartedAtMS)
+		return fault.Errorf("check start", conn.RemoteAddr().String(), "%w at %d, not at %d", errOtherStart, conn.ProvenStart(), ep.StartedAtMS)
 	}
 	return nil
 }
--- a/internal/proxy/startcheck.go
+++ b/internal/proxy/startcheck.go
@@ -12,8 +12,13 @@
 	"github.com/greengagewheel/greengagewheel/internal/notice"
 )
 
-// startCheckTimeout bounds a check of an engine's start time, with a connection of its own.
-const startCheckTimeout = time.Second
+const (
+	// startCheckTimeout bounds a query for an engine's start time, with a connection of its own.
+	startCheckTimeout = time.Second
+	// An engine that cannot be asked, as it has no room for a connection, is asked again after startCheckDelay, startCheckTries times in all.
+	startCheckDelay = 200 * time.Millisecond
+	startCheckTries = 3
+)
 
 type (
 	// startChecks asks engines for their start time once streams have begun there. It is safe for concurrent use.
@@ -98,6 +103,10 @@
 		c.waiting[ep] = nil
 		c.mu.Unlock()
 		told, err := p.askStart(dest, ep)
+		for try := 1; err != nil && !errors.Is(err, errOtherStart) && try < startCheckTries; try++ {
+			time.Sleep(startCheckDelay)
+			told, err = p.askStart(dest, ep)
+		}
 		if err != nil {
 			p.opt.Log.Info("start of an engine not proven", zap.String("endpoint", ep.ID), zap.Int64("born", ep.StartedAtMS),
 				zap.Int("streams", len(proofs)), zap.Error(err))
--- a/internal/proxy/startcheck_test.go
+++ b/internal/proxy/startcheck_test.go
@@ -145,6 +145,17 @@
 		time.Sleep(100 * time.Millisecond)
 		So(queries.Load(), ShouldBeLessThan, streams/2)
 	})
+	Convey("an engine that had no room for a connection is asked again", t, func() {
+		var queries atomic.Int64
+		h := newEngineHarness(t, engine(func(req receivedRequest, c net.Conn) bool {
+			return queries.Add(1) > 2 && tells("7")(req, c)
+		}, slowly(30, pause)), engine(tells("7"), streamUpTo(40, 0)))
+		h.firstTo()
+		resp := h.send(http.MethodPost, "/resume/", "x", "Id", "first")
+		So(resp.body, ShouldEqual, eventRange(1, 40))
+		So(queries.Load(), ShouldEqual, 3)
+		So(recorded(h, "first"), ShouldBeTrue)
+	})
 	Convey("streams that may not be resumed cost none", t, func() {
 		h := newEngineHarness(t, engine(tells("7"), streamUpTo(20, 0)))
 		So(h.send(http.MethodPost, "/stream/", "x").status, ShouldEqual, http.StatusOK)
