proxy: the caller's deadline is no silence of an endpoint

Cause: an endpoint that had not answered by the caller's deadline was reported to the watch of this instance's links, which the code before the handover did not do. Change: nothing is reported or sought at the deadline. Measured: the tests of silence and of cut instances in internal/proxy pass.

--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -65,7 +65,8 @@
 func (h *handover) onSilence() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended || h.taken != nil {
+	left := h.req.deadline.Sub(h.req.proxy.opt.Now())
+	if h.ended || h.taken != nil || left <= 0 {
 		return 0
 	}
 	if !h.busy {
@@ -74,7 +75,7 @@
 			h.startSearch()
 		}
 	}
-	return max(0, min(h.req.deadline.Sub(h.req.proxy.opt.Now()), h.req.silenceTimeout()))
+	return min(left, h.req.silenceTimeout())
 }
 
 // recordSilence records that nothing comes from the endpoint, which may be due to the links of this instance.
