egress, detour, proxy: a refusal without an ID counts only as the first response on its connection

What callers saw: requests that may run once were answered 503 and ran, or ran twice.

Cause: a refusal that names no request was taken for the answer to the request on whose connection it was read.

Change: a response belongs to a request if it names it, or if it is a refusal without an ID and the first response on a connection on which nothing else was asked. Others are skipped, as late copies are. The response to the request usually follows; if the refusal was its answer, none does, so the wait is limited to the time that a first response may be expected to take, and the caller gets 502. A connection on which a response was skipped is not used again. An instance that sends a request for another one tells whether the response was the first one; its order names the expected time.

An instance of a build before does not tell it, so that an unnamed refusal passed on by it counts as a failure; it ignores both new fields.

TestLateRefusalIsTakenForAnAnswer expected that an unnamed refusal is believed on a used connection of another instance; the part now refuses on a first connection, with the same expectations.

--- a/internal/detour/call.go
+++ b/internal/detour/call.go
@@ -145,8 +145,9 @@
 	return n, err
 }
 
-// ReadResponse reads the answer of the endpoint. It returns an error if belongs returns false for it.
-func (c *Call) ReadResponse(belongs func(*http.Response) bool) (*http.Response, error) {
+// ReadResponse reads the answer of the endpoint. It returns an error if belongs returns false for it. first tells that the answer is the
+// first one on the other instance's connection to the endpoint.
+func (c *Call) ReadResponse(belongs func(resp *http.Response, first bool) bool) (*http.Response, error) {
 	var head Head
 	if err := ReadFrame(answerBody{c}, &head); err != nil {
 		return nil, c.wrap("read response", err)
@@ -158,7 +159,7 @@
 		io.Reader
 		io.Closer
 	}{&bodyReader{from: answerBody{c}}, c.body})
-	if !belongs(resp) {
+	if !belongs(resp, head.First) {
 		return nil, fault.Errorf("read response", c.via.String(), "the response belongs to another request")
 	}
 	return resp, nil
--- a/internal/detour/wire.go
+++ b/internal/detour/wire.go
@@ -74,8 +74,10 @@
 		Target      string      `json:"target"`
 		Host        string      `json:"host"`
 		Header      http.Header `json:"header"`
-		// Left is the time until the caller's deadline.
-		Left time.Duration `json:"left"`
+		// Left is the time until the caller's deadline. Expected is how long the response may be expected to take; older builds do not
+		// set it.
+		Left     time.Duration `json:"left"`
+		Expected time.Duration `json:"expected,omitempty"`
 	}
 
 	// Receipt tells whether the request was sent. Reason is set if it was not.
@@ -93,6 +95,8 @@
 		Framing answer.Framing `json:"framing"`
 		// Length is the length of the body if that is known, else -1.
 		Length int64 `json:"length"`
+		// First is set if the answer is the first one on the connection to the endpoint. Older builds do not set it.
+		First bool `json:"first,omitempty"`
 	}
 )
 
--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -75,6 +75,7 @@
 // must be ended with Release or Abort, even on error. The error is ErrUnsent if nothing was written.
 func (p *Pools) Start(ctx context.Context, conn *Conn, req *Request, timeout time.Duration) (*Call, error) {
 	call := &Call{conn: conn, pools: p, req: req, writeDone: make(chan error, 1)}
+	conn.requests++
 	conn.source.onTimeout = nil
 	call.stopCancel = context.AfterFunc(ctx, func() { _ = conn.TCPConn.Close() })
 	if err := conn.setDeadline(time.Now().Add(timeout)); err != nil {
@@ -132,8 +133,8 @@
 }
 
 // ReadResponse reads responses until one for which belongs returns true. Responses to other requests, which were late or
-// duplicated, are skipped.
-func (call *Call) ReadResponse(belongs func(*http.Response) bool) (*http.Response, error) {
+// duplicated, are skipped. first tells that a response is the first one on the connection, so that it can only be that to the request.
+func (call *Call) ReadResponse(belongs func(resp *http.Response, first bool) bool) (*http.Response, error) {
 	req := &http.Request{Method: call.req.Method}
 	for range maxForeignResponses {
 		call.conn.source.beginHead()
@@ -144,9 +145,10 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if belongs(resp) {
+		if belongs(resp, call.conn.requests == 1 && !call.conn.skipped) {
 			return resp, nil
 		}
+		call.conn.skipped = true
 		if resp.Close || resp.ContentLength > maxSkippedBodyBytes {
 			break
 		}
@@ -193,12 +195,13 @@
 }
 
 // Release ends a call whose response was read completely and returns the connection to its pool if it can be reused. If the response is
-// a failure, the request may be sent again, but not over this connection.
+// a failure, the request may be sent again, but not over this connection. A connection on which a response was skipped is closed, as more
+// may follow.
 func (call *Call) Release(now time.Time, resp *http.Response, idleTimeout time.Duration) {
 	if resp.StatusCode >= http.StatusBadRequest {
 		call.conn.failed = append(call.conn.failed, hashID(call.req.ID))
 	}
-	if !call.stopCancel() || resp.Close || answer.FramingOf(resp) == answer.FramedByConnection {
+	if !call.stopCancel() || call.conn.skipped || resp.Close || answer.FramingOf(resp) == answer.FramedByConnection {
 		_ = call.conn.TCPConn.Close()
 		return
 	}
@@ -231,7 +234,8 @@
 }
 
 // Query requests a small document with GET on a connection, which stays usable for another request unless an error is returned. The
-// error is also returned if the answer is not 200 or longer than 64 KiB.
+// error is also returned if the answer is not 200 or longer than 64 KiB. On a connection that served earlier requests, the answer may be
+// one that was left there.
 func (p *Pools) Query(ctx context.Context, conn *Conn, target string, timeout time.Duration) ([]byte, error) {
 	peer := conn.dest.Addr.String()
 	call, err := p.Start(ctx, conn, &Request{Method: http.MethodGet, Target: target, Host: peer, Header: http.Header{}}, timeout)
@@ -239,7 +243,7 @@
 		call.Abort()
 		return nil, err
 	}
-	resp, err := call.ReadResponse(func(*http.Response) bool { return true })
+	resp, err := call.ReadResponse(func(*http.Response, bool) bool { return true })
 	if err != nil {
 		call.Abort()
 		return nil, err
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -74,6 +74,9 @@
 		idleSince   time.Time
 		idleTimeout time.Duration
 		reused      bool
+		// requests is the number of requests sent on the connection. skipped is set once a response was read that belongs to none of them.
+		requests int
+		skipped  bool
 		// provenStart is the start time of the endpoint's process as it told itself on this connection, or 0.
 		provenStart atomic.Int64
 		// failed holds the hashes of the IDs of requests that were answered with a failure on this connection.
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -38,7 +38,8 @@
 	// exchange is one request to an endpoint and its response, over a connection of this instance or by way of another one.
 	exchange interface {
 		// ReadResponse returns the response that belongs to the request, according to belongs.
-		ReadResponse(belongs func(*http.Response) bool) (*http.Response, error)
+		// first tells belongs that a response is the first one on its connection to the endpoint.
+		ReadResponse(belongs func(resp *http.Response, first bool) bool) (*http.Response, error)
 		SkipBody(resp *http.Response) error
 		SetReadTimeout(timeout time.Duration) error
 		// OnTimeout has fn called when the timeout passes while nothing is received. It returns how much longer to wait, or 0 to fail.
@@ -103,7 +104,7 @@
 		call, err := detour.Start(req.httpReq.Context(), p.opt.Sender, via, &detour.Order{
 			RequestID: req.caller.ID, RunID: req.attemptID, From: p.opt.Name, EndpointID: choice.ID, Addr: choice.Addr,
 			StartedAtMS: choice.StartedAtMS, ProveStart: req.mustProveStart() || req.mayBeginStream(), Method: req.httpReq.Method, Target: req.httpReq.RequestURI,
-			Host: req.httpReq.Host, Header: h, Left: left,
+			Host: req.httpReq.Host, Header: h, Left: left, Expected: req.expectedTimeout(req.sentAt, &choice),
 		}, req.body)
 		unsent := new(detour.UnsentError)
 		if errors.As(err, &unsent) {
@@ -260,10 +261,16 @@
 func (p *Proxy) passAnswer(w http.ResponseWriter, order *detour.Order, call *egress.Call) {
 	ep := notice.Start{ID: order.EndpointID, StartedAtMS: order.StartedAtMS}
 	var info ResponseInfo
-	resp, err := call.ReadResponse(func(resp *http.Response) bool {
-		info = p.opt.Dialect.DecodeResponse(resp.StatusCode, resp.Header)
+	isFirst := false
+	resp, err := call.ReadResponse(func(resp *http.Response, first bool) bool {
+		info, isFirst = p.opt.Dialect.DecodeResponse(resp.StatusCode, resp.Header), first
+		belongs := info.belongsTo(order.RequestID, first)
 		p.noteForSelf(ep, info)
-		return info.belongsTo(order.RequestID)
+		if belongs {
+			return true
+		}
+		p.skipped(order, call, info)
+		return false
 	})
 	if err != nil {
 		call.Abort()
@@ -274,7 +281,9 @@
 	if info.Pause == 0 && !info.Misdirected {
 		p.notices.MarkAnswered(p.opt.Now(), ep)
 	}
-	head := detour.Head{Status: resp.StatusCode, Header: resp.Header, Framing: answer.FramingOf(resp), Length: resp.ContentLength}
+	head := detour.Head{
+		Status: resp.StatusCode, Header: resp.Header, Framing: answer.FramingOf(resp), Length: resp.ContentLength, First: isFirst,
+	}
 	if err := detour.WriteFrame(w, &head); err != nil {
 		call.Abort()
 		p.logBroken(order, err)
@@ -295,6 +304,21 @@
 	}
 }
 
+// skipped counts a response to another request than that of an order. After a refusal that names no request, it limits the wait for the
+// response.
+func (p *Proxy) skipped(order *detour.Order, call *egress.Call, info ResponseInfo) {
+	p.responsesSkipped.Add(1)
+	p.opt.Log.Info("response to another request skipped", zap.String("id", order.RequestID), zap.String("run", order.RunID),
+		zap.String("endpoint", order.EndpointID), zap.String("other", info.ID))
+	if !info.isUnnamedRefusal() || order.Expected <= 0 {
+		return
+	}
+	if err := call.SetReadTimeout(order.Expected); err != nil {
+		p.opt.Log.Info("wait for a response not limited", zap.String("run", order.RunID), zap.String("endpoint", order.EndpointID),
+			zap.Error(err))
+	}
+}
+
 // passBody passes a body on as it comes, up to its end.
 func passBody(w http.ResponseWriter, body io.Reader) error {
 	flush := http.NewResponseController(w).Flush
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
@@ -28,6 +29,12 @@
 	streamTimeoutFactor  = 6
 )
 
+var (
+	errForeignResponse = errors.New("the answer is not one that the endpoint made for this request")
+	// errUnnamedRefusal means that only a refusal came that may be that of another request.
+	errUnnamedRefusal = fmt.Errorf("%w: a refusal names no request, and no other response follows", errForeignResponse)
+)
+
 // attemptResult is the result of one attempt and determines how the request continues.
 type attemptResult struct {
 	// done is set once the caller has its response or has disconnected.
@@ -232,33 +239,46 @@
 // firstResponseTimeout returns how long to wait for an endpoint's first response. While another endpoint can be tried,
 // this is a small multiple of the expected time, because a lost response never arrives.
 func (req *request) firstResponseTimeout(now time.Time, choice *place.Choice) time.Duration {
-	left, expected := req.deadline.Sub(now), choice.ExpectedLatency
 	if !req.mayRetry() || choice.Alternatives == 0 {
-		return left
+		return req.deadline.Sub(now)
 	}
+	return req.expectedTimeout(now, choice)
+}
+
+// expectedTimeout returns how long an endpoint's first response may be expected to take.
+func (req *request) expectedTimeout(now time.Time, choice *place.Choice) time.Duration {
+	left, expected := req.deadline.Sub(now), choice.ExpectedLatency
 	if req.route.Kind == table.Streaming {
 		return min(left, max(req.route.LatencyTarget*streamTimeoutPercent/100, streamTimeoutFactor*expected))
 	}
 	return min(left, max(req.route.LatencyTarget*callTimeoutPercent/100, callTimeoutFactor*expected))
 }
 
-var errForeignResponse = errors.New("the answer is not one that the endpoint made for this request")
-
 // readResponseHead reads the status line and header of the response that belongs to the request, and takes the notices that the
 // endpoint gives in it or in responses to earlier requests.
 func (req *request) readResponseHead(choice place.Choice, call exchange) (*http.Response, ResponseInfo, error) {
 	var info ResponseInfo
-	resp, err := call.ReadResponse(func(resp *http.Response) bool {
+	refused := false
+	resp, err := call.ReadResponse(func(resp *http.Response, first bool) bool {
 		info = req.proxy.opt.Dialect.DecodeResponse(resp.StatusCode, resp.Header)
+		belongs := info.belongsTo(req.caller.ID, first)
 		req.takeNotices(choice, info)
-		if belongs := info.belongsTo(req.caller.ID); !belongs {
-			req.log.Info("response to another request skipped", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
-				zap.String("other", info.ID), zap.Int("status", resp.StatusCode))
-			return false
+		if belongs {
+			return true
 		}
-		return true
+		req.proxy.responsesSkipped.Add(1)
+		req.log.Info("response to another request skipped", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
+			zap.String("other", info.ID), zap.Int("status", resp.StatusCode), zap.Duration("after", req.proxy.opt.Now().Sub(req.sentAt)))
+		if info.isUnnamedRefusal() && !refused {
+			refused = true
+			req.limitWait(choice, call)
+		}
+		return false
 	})
-	if err != nil {
+	switch {
+	case err != nil && refused:
+		return nil, info, fmt.Errorf("%w: %v", errUnnamedRefusal, err)
+	case err != nil:
 		return nil, info, err
 	}
 	now := req.proxy.opt.Now()
@@ -273,3 +293,14 @@
 	}
 	return resp, info, nil
 }
+
+// limitWait limits the wait for the response to the request after a refusal that names no request. If the refusal is that of another
+// request, the response follows; if it is that of this one, nothing does.
+func (req *request) limitWait(choice place.Choice, call exchange) {
+	if !req.mayRetry() {
+		call.OnTimeout(func() time.Duration { return 0 })
+	}
+	if err := call.SetReadTimeout(req.expectedTimeout(req.proxy.opt.Now(), &choice)); err != nil {
+		req.log.Info("wait for a response not limited", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Error(err))
+	}
+}
--- a/internal/proxy/late_refusal_test.go
+++ b/internal/proxy/late_refusal_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewheel/greengagewheel/internal/egress"
 )
 
 // lateRefuser is an endpoint that refuses the first request and sends the refusal once more where the next response on that connection is
@@ -79,6 +81,7 @@
 			e.refused = true
 			p := newPair(t, e.respond)
 			p.cut(linksRefused)
+			p.other.pools = egress.New(p.otherLinks)
 			e.mu.Lock()
 			e.refused, e.runs = false, map[string]int{}
 			e.mu.Unlock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -116,6 +116,8 @@
 		startsAsked atomic.Int64
 		// originsUnknown is the number of requests refused as it is not known where their stream began.
 		originsUnknown atomic.Int64
+		// responsesSkipped is the number of responses that belonged to none of the requests sent at the time.
+		responsesSkipped atomic.Int64
 		// detoursMade is the number of requests sent by way of other instances, detoursRunning that of requests of others in progress.
 		detoursMade        atomic.Int64
 		detoursRunning     atomic.Int64
@@ -258,6 +260,11 @@
 	return p.originsUnknown.Load()
 }
 
+// ResponsesSkipped returns how many responses this instance has read that belonged to none of the requests sent at the time.
+func (p *Proxy) ResponsesSkipped() int64 {
+	return p.responsesSkipped.Load()
+}
+
 // StartsAsked returns how often this instance has asked engines for their start as streams began there.
 func (p *Proxy) StartsAsked() int64 {
 	return p.startsAsked.Load()
--- a/internal/proxy/types.go
+++ b/internal/proxy/types.go
@@ -100,7 +100,13 @@
 	}
 )
 
-// belongsTo reports whether a response is one to the request with the given ID. A refusal may lack the ID.
-func (info *ResponseInfo) belongsTo(requestID string) bool {
-	return info.ID == requestID || info.ID == "" && (info.NotRun || info.Misdirected)
+// belongsTo reports whether a response is one to the request with the given ID. A refusal may lack the ID, but then belongs to the request
+// only if it is the first response on its connection: on others it may follow the response to an earlier request.
+func (info *ResponseInfo) belongsTo(requestID string, first bool) bool {
+	return info.ID == requestID || first && info.isUnnamedRefusal()
+}
+
+// isUnnamedRefusal reports whether a response says that a request has not run and does not tell which.
+func (info *ResponseInfo) isUnnamedRefusal() bool {
+	return info.ID == "" && (info.NotRun || info.Misdirected)
 }
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -123,6 +123,7 @@
 			r.meter.SetGauge("endpoints_brittle", float64(r.picker.BrittleEndpoints()))
 			r.meter.SetGauge("requests_refused_for_parts", float64(refused))
 			r.meter.SetGauge("streams_of_unknown_origin", float64(r.proxy.OriginsUnknown()))
+			r.meter.SetGauge("responses_skipped", float64(r.proxy.ResponsesSkipped()))
 			r.meter.SetGauge("engine_starts_asked", float64(r.proxy.StartsAsked()))
 			r.meter.SetGauge("requests_sent_by_others", float64(r.proxy.DetoursMade()))
 			r.meter.SetGauge("endpoints_reached", gaugeOf(r.proxy.ReachesEndpoints()))
