proxy: a response that names no request tells nothing of its endpoint

Cause: that an endpoint leaves, pauses, limits requests or is brittle was taken from each response that was read, also from bytes that belong to no request.

Change: it is taken from responses to the request, and from late ones that name an earlier request, which are the endpoint's.

--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -265,7 +265,9 @@
 	resp, err := call.ReadResponse(func(resp *http.Response, first bool) bool {
 		info, isFirst = p.opt.Dialect.DecodeResponse(resp.StatusCode, resp.Header), first
 		belongs := info.belongsTo(order.RequestID, first)
-		p.noteForSelf(ep, info)
+		if belongs || info.ID != "" {
+			p.noteForSelf(ep, info)
+		}
 		if belongs {
 			return true
 		}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -255,14 +255,16 @@
 }
 
 // readResponseHead reads the status line and header of the response that belongs to the request, and takes the notices that the
-// endpoint gives in it or in responses to earlier requests.
+// endpoint gives in it or in responses that name earlier requests.
 func (req *request) readResponseHead(choice place.Choice, call exchange) (*http.Response, ResponseInfo, error) {
 	var info ResponseInfo
 	refused := false
 	resp, err := call.ReadResponse(func(resp *http.Response, first bool) bool {
 		info = req.proxy.opt.Dialect.DecodeResponse(resp.StatusCode, resp.Header)
 		belongs := info.belongsTo(req.caller.ID, first)
-		req.takeNotices(choice, info)
+		if belongs || info.ID != "" {
+			req.takeNotices(choice, info)
+		}
 		if belongs {
 			return true
 		}
--- a/internal/proxy/stray_response_test.go
+++ b/internal/proxy/stray_response_test.go
@@ -12,6 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/greengagewheel/greengagewheel/internal/detour"
+	"github.com/greengagewheel/greengagewheel/internal/place"
 )
 
 // strayRefusal and strayMisdirection are refusals that name no request.
@@ -152,3 +153,38 @@
 		So(h.chooser.endpoints[0].requests(), ShouldHaveLength, 2)
 	})
 }
+
+// TestStrayResponseTellsOfItsEndpoint guards against bytes that name no request telling that an endpoint leaves, pauses or limits requests.
+func TestStrayResponseTellsOfItsEndpoint(t *testing.T) {
+	const header = "Leaving: 1\r\nPause: 5s\r\nLimit: 1\r\n"
+	for name, stray := range map[string]string{
+		"a refusal": strings.Replace(strayRefusal, "Not-Run", header+"Not-Run", 1),
+		"an answer": "HTTP/1.1 200 OK\r\nSigned: 1\r\n" + header + "Content-Length: 0\r\n\r\n",
+	} {
+		Convey(name+" that names no request tells nothing of the endpoint", t, func() {
+			e := newStrayer(stray, echo)
+			h := newHarness(t, e.respond)
+			for range 6 {
+				So(h.send(http.MethodPost, "/once/", "x").status, ShouldEqual, http.StatusOK)
+			}
+			So(h.proxy.ResponsesSkipped(), ShouldEqual, 3)
+			h.chooser.mu.Lock()
+			defer h.chooser.mu.Unlock()
+			for _, limit := range h.chooser.limits {
+				So(limit, ShouldResemble, place.Limit{EndpointID: "e0", Lifted: true, SentAgo: limit.SentAgo})
+			}
+		})
+		Convey(name+" tells nothing of it to the instance that sends requests for another one either", t, func() {
+			e := newStrayer("", echo)
+			p := newPair(t, e.respond)
+			p.cut(linksRefused)
+			e.mu.Lock()
+			e.stray = stray
+			e.mu.Unlock()
+			for range 6 {
+				So(p.send(http.MethodPost, "/once/", "x").status, ShouldEqual, http.StatusOK)
+			}
+			So(p.other.ResponsesSkipped(), ShouldBeGreaterThan, 0)
+		})
+	}
+}
