proxy: only a start that is told counts on a connection that served earlier requests

Cause: after the first event of a stream the engine is asked for its start, often over a kept connection. Bytes left there by an earlier exchange were taken for the report: a refusal, or a document without a start, counted as an engine that tells none, and the announced start had to do. A stream of another software version could then go on elsewhere.

Change: on a connection that served earlier requests, only a report that tells a start counts, since all that comes over a connection is from one process; with anything else the engine is asked over a new one. A request that needs a proven start goes over a kept connection only where it is proven already.

--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -230,7 +230,7 @@
 		return decline(detour.Unwilling, "the endpoint takes nothing from this instance now")
 	}
 	dest := egress.Dest{ID: order.EndpointID, Addr: order.Addr, StartedAtMS: order.StartedAtMS}
-	conn := p.pools.Idle(now, dest, order.RequestID)
+	conn := p.idleConn(now, dest, order.RequestID, order.ProveStart)
 	if conn == nil {
 		var err error
 		if conn, err = p.pools.Dial(ctx, dest); err != nil {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -140,7 +140,7 @@
 	p, ctx := req.proxy, req.httpReq.Context()
 	now, dest := p.opt.Now(), egress.Dest{ID: choice.ID, Addr: choice.Addr, StartedAtMS: choice.StartedAtMS}
 	if p.links.useOld(now) {
-		if conn := p.pools.Idle(now, dest, req.caller.ID); conn != nil {
+		if conn := p.idleConn(now, dest, req.caller.ID, req.mustProveStart()); conn != nil {
 			return req.sendOn(conn, choice, after)
 		}
 	}
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -33,6 +33,8 @@
 	errStartUntold = errors.New("the engine does not tell its start time")
 	// errOtherStart means that an engine told another start than the announced one.
 	errOtherStart = errors.New("the process started")
+	// errUntiedAnswer means that an engine's start is not known from an answer that may be one to an earlier request.
+	errUntiedAnswer = errors.New("the answer may belong to an earlier request on the connection")
 )
 
 // findOrigin finds the software version at which the stream began that the request goes on with, if any. It returns a rejection if
@@ -160,6 +162,17 @@
 	return req.route.Kind == table.Streaming && req.route.Resumable && req.service.Engine != nil
 }
 
+// idleConn returns an idle connection for a request, or nil. If the engine's start must be proven, it is one on which that was done: the
+// answer to a query on another one might be a response to an earlier request.
+func (p *Proxy) idleConn(now time.Time, dest egress.Dest, requestID string, mustProve bool) *egress.Conn {
+	conn := p.pools.Idle(now, dest, requestID)
+	if conn == nil || !mustProve || conn.ProvenStart() != 0 {
+		return conn
+	}
+	p.pools.Keep(now, conn)
+	return nil
+}
+
 // proveStart returns an error if the process at the other end of a connection tells another start time than the chosen one, or
 // errStartUntold if it tells none. The latter is returned once in untoldFor, so that an engine that proves its start is tried first;
 // where there is none, the announced start has to do, as else no stream would go on at engines whose report is missing or slow.
@@ -173,20 +186,26 @@
 	return checkProvenStart(conn, ep)
 }
 
-// queryStart is proveStart for a process that is asked in any case.
+// queryStart is proveStart for a process that is asked in any case. On a connection that served earlier requests, only an answer that
+// tells a start counts, as each answer there is from the same process; the error is errUntiedAnswer for any other one.
 func (p *Proxy) queryStart(ctx context.Context, conn *egress.Conn, ep notice.Start) error {
 	body, err := p.pools.Query(ctx, conn, p.opt.Dialect.StartTarget(), startQueryTimeout)
 	if err != nil {
-		if !isUnanswered(err) {
+		switch {
+		case !isUnanswered(err):
 			return err
+		case conn.Reused() && !isTimeout(err):
+			return errors.Join(errUntiedAnswer, err)
 		}
 		return p.noteStartUntold(ep, err)
 	}
 	start, told, err := p.opt.Dialect.DecodeStart(body)
-	if err != nil {
+	switch {
+	case conn.Reused() && (err != nil || !told):
+		return errors.Join(errUntiedAnswer, err)
+	case err != nil:
 		return p.noteStartUntold(ep, fault.Wrap("decode start", conn.RemoteAddr().String(), err))
-	}
-	if !told {
+	case !told:
 		return nil
 	}
 	conn.SetProvenStart(start)
--- a/internal/proxy/startcheck.go
+++ b/internal/proxy/startcheck.go
@@ -122,12 +122,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), startCheckTimeout)
 	defer cancel()
 	p.startsAsked.Add(1)
-	conn := p.pools.Idle(p.opt.Now(), dest, "")
-	if conn == nil {
-		if conn, err = p.pools.Dial(ctx, dest); err != nil {
-			return false, err
+	if conn := p.pools.Idle(p.opt.Now(), dest, ""); conn != nil {
+		if told, err = p.askStartOn(ctx, conn, ep); !errors.Is(err, errUntiedAnswer) {
+			return told, err
 		}
 	}
+	conn, err := p.pools.Dial(ctx, dest)
+	if err != nil {
+		return false, err
+	}
+	return p.askStartOn(ctx, conn, ep)
+}
+
+// askStartOn is askStart over a connection, which it keeps if it can be used again.
+func (p *Proxy) askStartOn(ctx context.Context, conn *egress.Conn, ep notice.Start) (told bool, err error) {
 	err = p.queryStart(ctx, conn, ep)
 	switch {
 	case errors.Is(err, errStartUntold):
--- a/internal/proxy/stray_response_test.go
+++ b/internal/proxy/stray_response_test.go
@@ -188,3 +188,42 @@
 		})
 	}
 }
+
+// TestStrayResponseTellsAStart guards against bytes that belong to no request being taken for an engine's answer that it tells no start.
+func TestStrayResponseTellsAStart(t *testing.T) {
+	for name, stray := range map[string]string{
+		"an answer": "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nuntold", "a refusal": strayRefusal,
+	} {
+		Convey("a stream that began at a later start does not go on, though "+name+" belongs to no request", t, func() {
+			reports := newStrayer(stray, tells("8"))
+			h := newEngineHarness(t, func(req receivedRequest, c net.Conn) bool {
+				switch req.URL.Path {
+				case "/start":
+					return reports.respond(req, c)
+				case "/repeat/":
+					reports.mu.Lock()
+					reports.used[c] = true
+					reports.mu.Unlock()
+					time.Sleep(50 * time.Millisecond)
+					return echo(req, c)
+				}
+				return slowly(10, 20*time.Millisecond)(req, c)
+			}, engine(tells("7"), func(req receivedRequest, c net.Conn) bool {
+				if req.URL.Path == "/repeat/" {
+					time.Sleep(50 * time.Millisecond)
+					return echo(req, c)
+				}
+				return streamUpTo(20, 0)(req, c)
+			}))
+			var wg sync.WaitGroup
+			for range 6 {
+				wg.Go(func() { h.send(http.MethodPost, "/repeat/", "x") })
+			}
+			wg.Wait()
+			h.firstTo()
+			resp := h.send(http.MethodPost, "/resume/", "x", "Id", "first")
+			So(resp.complete, ShouldBeFalse)
+			So(resp.body, ShouldEqual, eventRange(1, 9))
+		})
+	}
+}
