proxy: requests go over new connections to endpoints whose refusals name no request

What callers saw: since a refusal without an ID is not believed on a connection that served others, 502 after half of the target latency from endpoints that refuse so, although nothing ran.

Cause: on a kept connection such a refusal can not be told from bytes that follow an earlier answer.

Change: for 10 s after an endpoint has refused a request without naming it, requests are sent to it over new connections, on which the refusal counts; a kept one that is idle is closed for each, so that their number does not grow. An instance that sends requests for others does the same.

TestUnnamedRefusalFailsCallers fails before.

--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -279,6 +279,9 @@
 		p.logBroken(order, errors.Join(err, detour.WriteFrame(w, detour.Head{Broken: err.Error()})))
 		return
 	}
+	if info.isUnnamedRefusal() {
+		p.noteUnnamedRefusal(ep)
+	}
 	p.links.answered(p.opt.Now(), !call.Reused())
 	if info.Pause == 0 && !info.Misdirected {
 		p.notices.MarkAnswered(p.opt.Now(), ep)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
+	"github.com/greengagewheel/greengagewheel/internal/notice"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/pkg/table"
 )
@@ -27,6 +28,8 @@
 	callTimeoutFactor    = 3
 	streamTimeoutPercent = 150
 	streamTimeoutFactor  = 6
+	// unnamedRefusalTime is how long requests are sent over new connections to an endpoint that has refused one without naming it.
+	unnamedRefusalTime = 10 * time.Second
 )
 
 var (
@@ -170,6 +173,31 @@
 	return req.sendOn(conn, choice, after)
 }
 
+// idleConn returns an idle connection for a request, or nil if it should be sent over a new one, on which a response can only be the one
+// to the request. That is so while the endpoint refuses requests without naming them, and if an engine has to prove its start and has not
+// done so on the connection.
+func (p *Proxy) idleConn(now time.Time, dest egress.Dest, requestID string, mustProve bool) *egress.Conn {
+	conn := p.pools.Idle(now, dest, requestID)
+	if conn == nil {
+		return nil
+	}
+	refusedAt, refused := p.unnamedRefusals.Load(notice.Start{ID: dest.ID, StartedAtMS: dest.StartedAtMS})
+	if at, _ := refusedAt.(time.Time); refused && now.Sub(at) < unnamedRefusalTime {
+		_ = conn.Close()
+		return nil
+	}
+	if mustProve && conn.ProvenStart() == 0 {
+		p.pools.Keep(now, conn)
+		return nil
+	}
+	return conn
+}
+
+// noteUnnamedRefusal records that an endpoint has refused a request without naming it.
+func (p *Proxy) noteUnnamedRefusal(ep notice.Start) {
+	p.unnamedRefusals.Store(ep, p.opt.Now())
+}
+
 // sendOn sends the request on a connection. A nil exchange means that nothing was sent.
 func (req *request) sendOn(conn *egress.Conn, choice place.Choice, after string) (exchange, error) {
 	p, ctx := req.proxy, req.httpReq.Context()
@@ -279,11 +307,15 @@
 	})
 	switch {
 	case err != nil && refused:
+		req.proxy.noteUnnamedRefusal(startOf(choice))
 		return nil, info, fmt.Errorf("%w: %v", errUnnamedRefusal, err)
 	case err != nil:
 		return nil, info, err
 	}
 	now := req.proxy.opt.Now()
+	if info.isUnnamedRefusal() {
+		req.proxy.noteUnnamedRefusal(startOf(choice))
+	}
 	req.answered, req.framing = true, answer.FramingOf(resp)
 	if req.detoured() {
 		req.proxy.links.triedByOther(now, choice.ID, true)
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -162,17 +162,6 @@
 	return req.route.Kind == table.Streaming && req.route.Resumable && req.service.Engine != nil
 }
 
-// idleConn returns an idle connection for a request, or nil. If the engine's start must be proven, it is one on which that was done: the
-// answer to a query on another one might be a response to an earlier request.
-func (p *Proxy) idleConn(now time.Time, dest egress.Dest, requestID string, mustProve bool) *egress.Conn {
-	conn := p.pools.Idle(now, dest, requestID)
-	if conn == nil || !mustProve || conn.ProvenStart() != 0 {
-		return conn
-	}
-	p.pools.Keep(now, conn)
-	return nil
-}
-
 // proveStart returns an error if the process at the other end of a connection tells another start time than the chosen one, or
 // errStartUntold if it tells none. The latter is returned once in untoldFor, so that an engine that proves its start is tried first;
 // where there is none, the announced start has to do, as else no stream would go on at engines whose report is missing or slow.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -108,6 +108,8 @@
 		brittleTexts sync.Map
 		// startsUntold holds when engines were last asked for their start time in vain, by notice.Start.
 		startsUntold sync.Map
+		// unnamedRefusals holds when endpoints last refused a request without naming it, by notice.Start.
+		unnamedRefusals sync.Map
 		// crashesSeen is the number of crashes reported, heldRequests that of requests refused for a part of their prompt.
 		crashesSeen  atomic.Int64
 		heldRequests atomic.Int64
@@ -229,7 +231,7 @@
 	})
 	p.notices.Prune(now, endpoints)
 	p.parts.prune(now, p.opt.View())
-	for _, texts := range []*sync.Map{&p.limitTexts, &p.brittleTexts, &p.startsUntold} {
+	for _, texts := range []*sync.Map{&p.limitTexts, &p.brittleTexts, &p.startsUntold, &p.unnamedRefusals} {
 		texts.Range(func(key, _ any) bool {
 			if ep, ok := key.(notice.Start); ok && endpoints[ep.ID].StartedAtMS != ep.StartedAtMS {
 				texts.Delete(key)
--- a/internal/proxy/stray_response_test.go
+++ b/internal/proxy/stray_response_test.go
@@ -154,6 +154,25 @@
 	})
 }
 
+// TestUnnamedRefusalFailsCallers guards against callers getting 502 from an endpoint whose refusals name no request, while it has room the
+// next time it is asked.
+func TestUnnamedRefusalFailsCallers(t *testing.T) {
+	Convey("requests are sent over new connections to an endpoint that refuses so", t, func() {
+		asked := 0
+		h := newHarness(t, func(req receivedRequest, c net.Conn) bool {
+			if asked++; asked%2 == 1 {
+				_, _ = fmt.Fprint(c, strayRefusal)
+				return true
+			}
+			return echo(req, c)
+		})
+		for range 20 {
+			So(h.send(http.MethodPost, "/once/", "x").status, ShouldEqual, http.StatusOK)
+		}
+		So(asked, ShouldEqual, 40)
+	})
+}
+
 // TestStrayResponseTellsOfItsEndpoint guards against bytes that name no request telling that an endpoint leaves, pauses or limits requests.
 func TestStrayResponseTellsOfItsEndpoint(t *testing.T) {
 	const header = "Leaving: 1\r\nPause: 5s\r\nLimit: 1\r\n"
