relay: an answer on a kept connection does not refuse a run or tell the outcome of a key

What callers saw: nothing is known to have happened. Behind contracts answers do not name their request, so that bytes that follow an answer on a kept connection were taken for the answer to the next request there: a refusal ended a generation, which the engine then ran for nobody, and the outcome of another key was taken for that of a call that may not be repeated.

Change: a refusal of an engine on a connection that served earlier requests is asked for again over a new one; the engine knows the run by its name. Outcomes are asked for over a connection of their own, as such calls are made.

Replies of calls that may be repeated still come over kept connections.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -110,10 +110,10 @@
 	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// Outcome asks a service that supports it for the outcome of an idempotency key; found means that the call has run.
+// Outcome asks a service that supports it for the outcome of an idempotency key; found means that the call has run. The answer does not
+// name the key, so it is asked for over a new connection.
 func (r *Relay) Outcome(ctx context.Context, to netip.AddrPort, key string) (reply Reply, found bool, err error) {
-	call := Call{Method: http.MethodGet, Path: "/v1/outcomes/" + url.PathEscape(key)}
-	resp, err := r.CallRepeatable(ctx, to, call)
+	resp, err := r.CallOnce(ctx, to, Call{Method: http.MethodGet, Path: "/v1/outcomes/" + url.PathEscape(key)})
 	if err != nil {
 		return Reply{}, false, err
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -43,6 +44,8 @@
 	// ErrSilent means that an endpoint stayed silent, even on new connections.
 	ErrSilent     = errors.New("endpoint is silent")
 	errStreamDone = errors.New("stream is done")
+	// errUntiedRefusal means that a refusal may be the answer to an earlier request on the connection.
+	errUntiedRefusal = errors.New("the refusal may be that of an earlier request")
 )
 
 type (
@@ -109,7 +112,8 @@
 }
 
 // Fetch streams a generation from an engine into sink, starting after the token at offset. A connection that breaks or
-// goes silent is replaced by a new one to the same engine, which resumes at the last offset. The error is ErrUnsent,
+// goes silent is replaced by a new one to the same engine, which resumes at the last offset. So is one that served earlier requests and
+// brings a refusal, which may be a late answer to one of them. The error is ErrUnsent,
 // ErrBroken, ErrSilent, ErrOtherBuild or a *Refusal, or that of ctx if it ended; ErrBroken wraps ErrUnsent if the engine could not be
 // reached again.
 func (r *Relay) Fetch(ctx context.Context, to netip.AddrPort, stream Stream, offset int, sink func(Event) error) error {
@@ -149,8 +153,10 @@
 func (r *Relay) fetchOnce(ctx context.Context, to netip.AddrPort, stream Stream, offset int, sink func(Event) error) (int, error) {
 	streamCtx, resetTimeout, stop := conns.WithIdleTimeout(ctx, stream.FirstTokenTimeout)
 	defer stop()
+	reused := false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
 	url := fmt.Sprintf("http://%s%s", to, stream.Path)
-	req, err := http.NewRequestWithContext(streamCtx, http.MethodPost, url, bytes.NewReader(stream.Body))
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(streamCtx, trace), http.MethodPost, url, bytes.NewReader(stream.Body))
 	if err != nil {
 		return offset, err
 	}
@@ -166,6 +172,9 @@
 		return offset, classifyError(streamCtx, to, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK && reused {
+		return offset, fault.Wrap("stream", to.String(), errors.Join(ErrBroken, errUntiedRefusal))
+	}
 	if resp.StatusCode != http.StatusOK {
 		refusal, err := readRefusal(resp)
 		if err != nil {
