engctl: each order to an engine goes over a connection of its own

Cause: an answer does not name its order, so that a late answer on a kept connection was taken for that to the next order, which then counted as carried out.

Measured: TestAnswerToEarlierOrderIsTaken, 1 connection before, 5 now.

--- a/internal/engctl/engctl.go
+++ b/internal/engctl/engctl.go
@@ -73,7 +73,8 @@
 // New returns an Executor that doesn't hold the lease yet.
 func New(opt Options) *Executor {
 	return &Executor{
-		opt: opt, client: &http.Client{Timeout: order.Timeout, Transport: conns.NewTransport(netip.Addr{})},
+		// An answer does not name its order: over a connection that served others, it might be that of an earlier one.
+		opt: opt, client: &http.Client{Timeout: order.Timeout, Transport: conns.NewUnpooledTransport()},
 		observed: map[string]observation{},
 	}
 }
