proxy: a large failure of an endpoint does not tell its caller that nothing has run

What callers saw: 503, 429 or 408 for a request that may run once and has run, if the endpoint answered so without saying that it has not run it, with a body of more than 1 MiB.

Cause: smaller failures are buffered and become 502; larger ones were passed on as they came, with their status. Found by looking wherever one of the four statuses is made or passed on.

Change: such an answer counts as a failure of the endpoint, whatever its size: 502, or another endpoint where the request may run again.

Measured: TestLargeFailureLooksLikeRefusal; nine of its twelve parts fail before, those with 421, which an endpoint gives to what it does not run, pass before and after.

--- a/internal/proxy/buffer.go
+++ b/internal/proxy/buffer.go
@@ -87,6 +87,9 @@
 
 // relayUnbuffered forwards a large response as it arrives.
 func (req *request) relayUnbuffered(choice place.Choice, call exchange, resp *http.Response, info ResponseInfo) attemptResult {
+	if impliesNotRun(resp.StatusCode) {
+		return req.handleBroken(choice, call, fmt.Errorf("%w: status %d of a request that has run", errForeignResponse, resp.StatusCode))
+	}
 	h := req.writer.Header()
 	for k, v := range endToEnd(resp.Header) {
 		h[k] = v
