entry, relay, sched: a run that an engine failed is not told as not run

What callers saw: ran=no for a generation that the engine answered with 500, 502 or 504, and may have begun; a repetition under its name that was refused was told ran=no too.

Cause: each answer of an engine but 200 counted as a refusal, and its grant was returned as unsent. Found by looking where else callers are told that nothing ran.

Change: only 400 to 499 and 503 say so. The report of the end to the scheduler has a new field for a run that used nothing but may have begun; a scheduler of a build before ignores it and takes the request for not run, as before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -49,7 +49,11 @@
 	}
 	var refusal *relay.Refusal
 	if errors.As(err, &refusal) {
-		e.opt.Broker.Finish(j.cell, grant, sched.Completion{Unsent: true})
+		failed := refusal.MayHaveRun()
+		if failed {
+			j.sendCount++
+		}
+		e.opt.Broker.Finish(j.cell, grant, sched.Completion{Unsent: true, MayHaveRun: failed})
 		return true, endpointProblem(err, j.ran())
 	}
 	return e.afterFailure(j, decision, grant, err)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -94,6 +94,11 @@
 	return fmt.Sprintf("endpoint refused with status %d", refusal.Status)
 }
 
+// MayHaveRun reports whether the endpoint may have begun the request: a failure, unlike a refusal, says nothing of that.
+func (refusal *Refusal) MayHaveRun() bool {
+	return refusal.Status >= http.StatusInternalServerError && refusal.Status != http.StatusServiceUnavailable
+}
+
 // New returns a Relay without connections.
 func New() *Relay {
 	return &Relay{pools: conns.NewPools(), once: conns.NewUnpooledTransport()}
--- a/internal/sched/finish.go
+++ b/internal/sched/finish.go
@@ -15,7 +15,7 @@
 		return
 	}
 	s.releaseRun(now, r, completion)
-	if completion.Unsent {
+	if completion.Unsent && !completion.MayHaveRun {
 		s.history.recordUnsent(&r.req)
 	}
 	s.dispatch(now)
--- a/internal/sched/history_test.go
+++ b/internal/sched/history_test.go
@@ -43,6 +43,13 @@
 		c.scheduler.Finish(c.now, Completion{ID: "back", Unsent: true})
 		So(refusalSaysMayHaveRun(c.scheduler, later(c), newRequest("back", "y")), ShouldBeFalse)
 	})
+	Convey("A request that its endpoint may have begun may have run, though it used nothing there", t, func() {
+		c := newTestCell(1, 1, 1, map[string]Terms{"k": classTerms(1, 0)})
+		c.scheduler.Submit(c.now, newRequest("begun", "x"), c.terms["k"])
+		c.collect()
+		c.scheduler.Finish(c.now, Completion{ID: "begun", Unsent: true, MayHaveRun: true})
+		So(refusalSaysMayHaveRun(c.scheduler, later(c), newRequest("begun", "y")), ShouldBeTrue)
+	})
 	Convey("After a takeover any request may have run, until the retention of the previous epoch's grants has ended", t, func() {
 		scheduler := New(startTime, 2, Options{MaxQueued: 10})
 		scheduler.Sync(startTime, EntryReport{Entry: "x", Runs: []RunReport{
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -143,13 +143,14 @@
 		MayHaveRun bool           `json:"before,omitempty"`
 	}
 
-	// Completion reports the end of a run. Unsent is set if the request was not sent to the endpoint. TokenInterval is the mean
-	// time between tokens.
+	// Completion reports the end of a run. Unsent is set if the request was not sent to the endpoint, or used nothing there; MayHaveRun
+	// if the endpoint may have begun it nevertheless. TokenInterval is the mean time between tokens.
 	Completion struct {
 		ID             string        `json:"id"`
 		Attempt        int           `json:"attempt"`
 		EndpointFailed bool          `json:"broken,omitempty"`
 		Unsent         bool          `json:"unsent,omitempty"`
+		MayHaveRun     bool          `json:"begun,omitempty"`
 		FirstTokenTime time.Duration `json:"first,omitempty"`
 		TokenInterval  time.Duration `json:"gap,omitempty"`
 		OutputTokens   int           `json:"tokens,omitempty"`
