--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Folder in memory for the data of fleets under test: they wait for each sync of a disk that others may keep busy.
 DATA = $(wildcard /dev/shm)
 
-.PHONY: build lint fmt test shares slopes bench
+.PHONY: build lint fmt test shares slopes bench soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -32,3 +32,8 @@
 
 shares:
 	@$(GO) run ./cmd/bench shares
+
+# Plays one seed of the fault soak, see docs/soak.md.
+SEED ?= 1
+soak:
+	$(GO) run ./cmd/soak run --seed $(SEED)
