--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -2,15 +2,18 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -59,8 +62,11 @@
 	}
 }
 
-// Execute plays the plans and returns an error if one broke a rule or could not be played.
+// Execute plays the plans and returns an error if one broke a rule or could not be played. On SIGINT and SIGTERM it ends the processes of
+// the present one.
 func (c *runCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	plans, err := c.plans()
 	if err != nil {
 		return err
@@ -72,7 +78,7 @@
 	defer cleanUp()
 	broken := 0
 	for _, plan := range plans {
-		found, err := c.play(plan, programs)
+		found, err := c.play(ctx, plan, programs)
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", plan.Seed, err)
 		}
@@ -148,7 +154,7 @@
 }
 
 // play plays one plan, prints its result, and returns the number of findings. The folder of a run with findings is kept.
-func (c *runCommand) play(plan soak.Plan, programs string) (found int, err error) {
+func (c *runCommand) play(ctx context.Context, plan soak.Plan, programs string) (found int, err error) {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", plan.Seed))
 	if err != nil {
 		return 0, err
@@ -162,7 +168,7 @@
 	if err = plan.Write(filepath.Join(dir, planFile)); err != nil {
 		return 0, err
 	}
-	report, err := soak.Play(plan, soak.Options{Programs: programs, Dir: dir, Log: log})
+	report, err := soak.Play(ctx, plan, soak.Options{Programs: programs, Dir: dir, Log: log})
 	if err != nil {
 		fmt.Printf("seed %d: logs and plan in %s\n", plan.Seed, dir)
 		return 0, err
