--- a/internal/engctl/order_test.go
+++ b/internal/engctl/order_test.go
@@ -12,8 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// TestAnswerToEarlierOrderIsTaken guards against the answer to an earlier order, which may come late on its connection, being taken for that
-// to a later one.
+// TestAnswerToEarlierOrderIsTaken guards against a late answer to one order being taken for that to the next.
 func TestAnswerToEarlierOrderIsTaken(t *testing.T) {
 	Convey("each order goes over a connection of its own", t, func() {
 		var conns atomic.Int64
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -49,11 +49,11 @@
 	}
 	var refusal *relay.Refusal
 	if errors.As(err, &refusal) {
-		failed := refusal.MayHaveRun()
-		if failed {
+		mayHaveRun := refusal.MayHaveRun()
+		if mayHaveRun {
 			j.sendCount++
 		}
-		e.opt.Broker.Finish(j.cell, grant, sched.Completion{Unsent: true, MayHaveRun: failed})
+		e.opt.Broker.Finish(j.cell, grant, sched.Completion{Unsent: true, MayHaveRun: mayHaveRun})
 		return true, endpointProblem(err, j.ran())
 	}
 	return e.afterFailure(j, decision, grant, err)
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -271,7 +271,7 @@
 		if belongs {
 			return true
 		}
-		p.skipped(order, call, info)
+		p.noteSkippedOrder(order, call, info)
 		return false
 	})
 	if err != nil {
@@ -309,21 +309,6 @@
 	}
 }
 
-// skipped counts a response to another request than that of an order. After a refusal that names no request, it limits the wait for the
-// response.
-func (p *Proxy) skipped(order *detour.Order, call *egress.Call, info ResponseInfo) {
-	p.responsesSkipped.Add(1)
-	p.opt.Log.Info("response to another request skipped", zap.String("id", order.RequestID), zap.String("run", order.RunID),
-		zap.String("endpoint", order.EndpointID), zap.String("other", info.ID))
-	if !info.isUnnamedRefusal() || order.Expected <= 0 {
-		return
-	}
-	if err := call.SetReadTimeout(order.Expected); err != nil {
-		p.opt.Log.Info("wait for a response not limited", zap.String("run", order.RunID), zap.String("endpoint", order.EndpointID),
-			zap.Error(err))
-	}
-}
-
 // passBody passes a body on as it comes, up to its end.
 func passBody(w http.ResponseWriter, body io.Reader) error {
 	flush := http.NewResponseController(w).Flush
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -7,11 +7,8 @@
 	"net/netip"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
-	"github.com/greengagewheel/greengagewheel/internal/notice"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 	"github.com/greengagewheel/greengagewheel/pkg/table"
 )
@@ -28,15 +25,9 @@
 	callTimeoutFactor    = 3
 	streamTimeoutPercent = 150
 	streamTimeoutFactor  = 6
-	// unnamedRefusalTime is how long requests are sent over new connections to an endpoint that has refused one without naming it.
-	unnamedRefusalTime = 10 * time.Second
 )
 
-var (
-	errForeignResponse = errors.New("the answer is not one that the endpoint made for this request")
-	// errUnnamedRefusal means that only a refusal came that may be that of another request.
-	errUnnamedRefusal = fmt.Errorf("%w: a refusal names no request, and no other response follows", errForeignResponse)
-)
+var errForeignResponse = errors.New("the answer is not one that the endpoint made for this request")
 
 // attemptResult is the result of one attempt and determines how the request continues.
 type attemptResult struct {
@@ -173,31 +164,6 @@
 	return req.sendOn(conn, choice, after)
 }
 
-// idleConn returns an idle connection for a request, or nil if it should be sent over a new one, on which a response can only be the one
-// to the request. That is so while the endpoint refuses requests without naming them, and if an engine has to prove its start and has not
-// done so on the connection.
-func (p *Proxy) idleConn(now time.Time, dest egress.Dest, requestID string, mustProve bool) *egress.Conn {
-	conn := p.pools.Idle(now, dest, requestID)
-	if conn == nil {
-		return nil
-	}
-	refusedAt, refused := p.unnamedRefusals.Load(notice.Start{ID: dest.ID, StartedAtMS: dest.StartedAtMS})
-	if at, _ := refusedAt.(time.Time); refused && now.Sub(at) < unnamedRefusalTime {
-		_ = conn.Close()
-		return nil
-	}
-	if mustProve && conn.ProvenStart() == 0 {
-		p.pools.Keep(now, conn)
-		return nil
-	}
-	return conn
-}
-
-// noteUnnamedRefusal records that an endpoint has refused a request without naming it.
-func (p *Proxy) noteUnnamedRefusal(ep notice.Start) {
-	p.unnamedRefusals.Store(ep, p.opt.Now())
-}
-
 // sendOn sends the request on a connection. A nil exchange means that nothing was sent.
 func (req *request) sendOn(conn *egress.Conn, choice place.Choice, after string) (exchange, error) {
 	p, ctx := req.proxy, req.httpReq.Context()
@@ -286,7 +252,7 @@
 // endpoint gives in it or in responses that name earlier requests.
 func (req *request) readResponseHead(choice place.Choice, call exchange) (*http.Response, ResponseInfo, error) {
 	var info ResponseInfo
-	refused := false
+	unnamedRefusal := false
 	resp, err := call.ReadResponse(func(resp *http.Response, first bool) bool {
 		info = req.proxy.opt.Dialect.DecodeResponse(resp.StatusCode, resp.Header)
 		belongs := info.belongsTo(req.caller.ID, first)
@@ -296,17 +262,15 @@
 		if belongs {
 			return true
 		}
-		req.proxy.responsesSkipped.Add(1)
-		req.log.Info("response to another request skipped", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID),
-			zap.String("other", info.ID), zap.Int("status", resp.StatusCode), zap.Duration("after", req.proxy.opt.Now().Sub(req.sentAt)))
-		if info.isUnnamedRefusal() && !refused {
-			refused = true
+		req.noteSkipped(choice, resp, info)
+		if info.isUnnamedRefusal() && !unnamedRefusal {
+			unnamedRefusal = true
 			req.limitWait(choice, call)
 		}
 		return false
 	})
 	switch {
-	case err != nil && refused:
+	case err != nil && unnamedRefusal:
 		req.proxy.noteUnnamedRefusal(startOf(choice))
 		return nil, info, fmt.Errorf("%w: %v", errUnnamedRefusal, err)
 	case err != nil:
@@ -327,14 +291,3 @@
 	}
 	return resp, info, nil
 }
-
-// limitWait limits the wait for the response to the request after a refusal that names no request. If the refusal is that of another
-// request, the response follows; if it is that of this one, nothing does.
-func (req *request) limitWait(choice place.Choice, call exchange) {
-	if !req.mayRetry() {
-		call.OnTimeout(func() time.Duration { return 0 })
-	}
-	if err := call.SetReadTimeout(req.expectedTimeout(req.proxy.opt.Now(), &choice)); err != nil {
-		req.log.Info("wait for a response not limited", zap.String("run", req.attemptID), zap.String("endpoint", choice.ID), zap.Error(err))
-	}
-}
--- a/internal/proxy/large_failure_test.go
+++ b/internal/proxy/large_failure_test.go
@@ -10,8 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// TestLargeFailureLooksLikeRefusal guards against an endpoint's failure whose status tells callers that nothing has run being passed on
-// because its body is too large to be buffered.
+// TestLargeFailureLooksLikeRefusal guards against failures too large to be buffered that tell callers that nothing has run.
 func TestLargeFailureLooksLikeRefusal(t *testing.T) {
 	body := strings.Repeat("x", maxBufferedResponseBytes+1)
 	for _, status := range []int{
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -33,8 +33,8 @@
 	errStartUntold = errors.New("the engine does not tell its start time")
 	// errOtherStart means that an engine told another start than the announced one.
 	errOtherStart = errors.New("the process started")
-	// errUntiedAnswer means that an engine's start is not known from an answer that may be one to an earlier request.
-	errUntiedAnswer = errors.New("the answer may belong to an earlier request on the connection")
+	// errUnmatchedAnswer means that an engine's start is not known from an answer that may be one to an earlier request.
+	errUnmatchedAnswer = errors.New("the answer may belong to an earlier request on the connection")
 )
 
 // findOrigin finds the software version at which the stream began that the request goes on with, if any. It returns a rejection if
@@ -176,7 +176,7 @@
 }
 
 // queryStart is proveStart for a process that is asked in any case. On a connection that served earlier requests, only an answer that
-// tells a start counts, as each answer there is from the same process; the error is errUntiedAnswer for any other one.
+// tells a start counts, as each answer there is from the same process; the error is errUnmatchedAnswer for any other one.
 func (p *Proxy) queryStart(ctx context.Context, conn *egress.Conn, ep notice.Start) error {
 	body, err := p.pools.Query(ctx, conn, p.opt.Dialect.StartTarget(), startQueryTimeout)
 	if err != nil {
@@ -184,14 +184,14 @@
 		case !isUnanswered(err):
 			return err
 		case conn.Reused() && !isTimeout(err):
-			return errors.Join(errUntiedAnswer, err)
+			return errors.Join(errUnmatchedAnswer, err)
 		}
 		return p.noteStartUntold(ep, err)
 	}
 	start, told, err := p.opt.Dialect.DecodeStart(body)
 	switch {
 	case conn.Reused() && (err != nil || !told):
-		return errors.Join(errUntiedAnswer, err)
+		return errors.Join(errUnmatchedAnswer, err)
 	case err != nil:
 		return p.noteStartUntold(ep, fault.Wrap("decode start", conn.RemoteAddr().String(), err))
 	case !told:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -352,7 +352,8 @@
 		}
 	}
 	req.log.Info("request ended", zap.String("outcome", outcome), zap.Int("status", status), zap.String("route", routeName),
-		zap.String("organisation", req.organisationName()), zap.Int("tries", req.attempts), zap.Int("sent", req.sentCount), zap.Int("declined", req.declinedCount),
+		zap.String("organisation", req.organisationName()), zap.Int("tries", req.attempts), zap.Int("sent", req.sentCount),
+		zap.Int("declined", req.declinedCount),
 		zap.Duration("first", req.firstByteTime),
 		zap.Int("events", req.eventCount), zap.Duration("gap", req.maxGap), zap.String("framing", string(req.framing)),
 		zap.Int("partial", req.partialBytes), zap.Duration("took", took),
--- a/internal/proxy/startcheck.go
+++ b/internal/proxy/startcheck.go
@@ -123,7 +123,7 @@
 	defer cancel()
 	p.startsAsked.Add(1)
 	if conn := p.pools.Idle(p.opt.Now(), dest, ""); conn != nil {
-		if told, err = p.askStartOn(ctx, conn, ep); !errors.Is(err, errUntiedAnswer) {
+		if told, err = p.askStartOn(ctx, conn, ep); !errors.Is(err, errUnmatchedAnswer) {
 			return told, err
 		}
 	}
--- a/internal/proxy/stray_response_test.go
+++ b/internal/proxy/stray_response_test.go
@@ -65,8 +65,7 @@
 	return most
 }
 
-// TestStrayRefusalIsTakenForAnAnswer guards against refusals that name no request and follow an answer on its connection being taken for
-// the answer to the next request there.
+// TestStrayRefusalIsTakenForAnAnswer guards against unnamed refusals behind an answer that are taken for the answer to the next request.
 func TestStrayRefusalIsTakenForAnAnswer(t *testing.T) {
 	for name, stray := range map[string]string{"a refusal": strayRefusal, "a status 421": strayMisdirection} {
 		for _, target := range []string{"/once/", "/repeat/", "/stream/", "/resume/"} {
@@ -154,8 +153,7 @@
 	})
 }
 
-// TestUnnamedRefusalFailsCallers guards against callers getting 502 from an endpoint whose refusals name no request, while it has room the
-// next time it is asked.
+// TestUnnamedRefusalFailsCallers guards against callers getting 502 from endpoints whose refusals name no request.
 func TestUnnamedRefusalFailsCallers(t *testing.T) {
 	Convey("requests are sent over new connections to an endpoint that refuses so", t, func() {
 		asked := 0
--- a/internal/relay/stray_answer_test.go
+++ b/internal/relay/stray_answer_test.go
@@ -49,8 +49,7 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// TestStrayAnswerIsTakenForTheNext guards against bytes that follow an answer on its connection being taken for the answer to the next
-// request there.
+// TestStrayAnswerIsTakenForTheNext guards against bytes behind an answer that are taken for the answer to the next request.
 func TestStrayAnswerIsTakenForTheNext(t *testing.T) {
 	whole := func(status int, body string) string {
 		return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -44,8 +44,8 @@
 	// ErrSilent means that an endpoint stayed silent, even on new connections.
 	ErrSilent     = errors.New("endpoint is silent")
 	errStreamDone = errors.New("stream is done")
-	// errUntiedRefusal means that a refusal may be the answer to an earlier request on the connection.
-	errUntiedRefusal = errors.New("the refusal may be that of an earlier request")
+	// errUnmatchedRefusal means that a refusal may be the answer to an earlier request on the connection.
+	errUnmatchedRefusal = errors.New("the refusal may be that of an earlier request")
 )
 
 type (
@@ -178,7 +178,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK && reused {
-		return offset, fault.Wrap("stream", to.String(), errors.Join(ErrBroken, errUntiedRefusal))
+		return offset, fault.Wrap("stream", to.String(), errors.Join(ErrBroken, errUnmatchedRefusal))
 	}
 	if resp.StatusCode != http.StatusOK {
 		refusal, err := readRefusal(resp)
