duty, ctrl, conf, router: one holder of a duty, with fencing tokens

Some calls to the platform are to be made by one instance at a time. The holder is the leader of the log, once it has led for longer than the lease and has committed TakeDuty; the token is the log index of that commit. [duties] in the settings turns this on; without it there is no message, commit or timer.

An older build answers TakeDuty with code invalid and keeps no record of it, which changes no token and no configuration version.

The callers of State.Apply in tests and the memory bench pass the index 0.

--- a/internal/bench/memory.go
+++ b/internal/bench/memory.go
@@ -33,10 +33,10 @@
 			Customer: fmt.Sprint("customer-", i%500), Key: fmt.Sprint("booking-", i), To: claim.Open,
 			Nonce: fmt.Sprintf("%036d", i), Fingerprint: fmt.Sprintf("%032d", i), Holder: "i1", Boot: "i1-boot",
 		}
-		state.Apply(ctrl.Command{Claim: &cmd})
+		state.Apply(0, ctrl.Command{Claim: &cmd})
 		doneCmd := cmd
 		doneCmd.To, doneCmd.Answer = claim.Done, &claim.Answer{Status: 200, ContentType: "application/json", Body: make([]byte, claimAnswerBytes)}
-		state.Apply(ctrl.Command{Claim: &doneCmd})
+		state.Apply(0, ctrl.Command{Claim: &doneCmd})
 	}
 	bytesPerClaim := float64(heapBytes()-heapBefore) / claimsMeasured
 	runtime.KeepAlive(state)
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -39,6 +39,8 @@
 		Retry    Retry    `toml:"retry"`
 		Stop     Stop     `toml:"stop"`
 		Log      Log      `toml:"log"`
+		// Duties is nil if the platform has no duties for instances.
+		Duties *Duties `toml:"duties"`
 	}
 
 	// Problem is one error in a settings file. Key is dotted and includes the section.
@@ -113,6 +115,9 @@
 		// The decoder stops at the first syntax error or invalid value, so the rest of the file is not checked.
 		return c, Problems{decodeProblem(file, err)}
 	}
+	if c.Duties != nil {
+		c.Duties.setDefaults()
+	}
 	for _, p := range c.check() {
 		p.File, p.Line = file, lineOf(string(text), p.Key)
 		problems = append(problems, p)
@@ -136,6 +141,12 @@
 		{"instance", &c.Instance}, {"listen", &c.Listen}, {"peers", &c.Peers}, {"keys", &c.Keys},
 		{"limits", &c.Limits}, {"fresh", &c.Proof}, {"sched", &c.Sched}, {"retry", &c.Retry}, {"stop", &c.Stop}, {"log", &c.Log},
 	}
+	if c.Duties != nil {
+		sections = append(sections, struct {
+			name     string
+			settings section
+		}{"duties", c.Duties})
+	}
 	for _, s := range sections {
 		if key, err := s.settings.check(c.Mode); err != nil {
 			problems = append(problems, &Problem{Key: s.name + "." + key, Reason: err.Error()})
--- a/internal/ctrl/command.go
+++ b/internal/ctrl/command.go
@@ -53,6 +53,7 @@
 		// Announce and RemoveEndpoint concern endpoints of the services in the routing table.
 		Announce       *roster.Endpoint `json:"announce,omitempty"`
 		RemoveEndpoint *roster.Removal  `json:"exit,omitempty"`
+		TakeDuty       *TakeDuty        `json:"duty,omitempty"`
 	}
 
 	// ReplaceTable replaces the whole routing table if its version is higher than the current one. Source is the document as the
@@ -162,12 +163,12 @@
 		// that version of a contract.
 		Version uint64 `json:"version,omitempty"`
 		Author  string `json:"author,omitempty"`
-		// Epoch and Holder describe the lease of a cell.
+		// Epoch and Holder describe the lease of a cell. For TakeDuty, Holder is the holder before, with name and boot ID only.
 		Epoch  uint64   `json:"epoch,omitempty"`
 		Holder Instance `json:"holder"`
 		// Amount is the granted part of a spending ceiling in micro-euros.
 		Amount int64 `json:"amount,omitempty"`
-		// Fence is the fencing token of an order.
+		// Fence is the fencing token of an order or of a duty.
 		Fence uint64 `json:"fence,omitempty"`
 		// Claim is the claim after the command, unchanged if the command was not allowed.
 		Claim *claim.Record `json:"claim,omitempty"`
@@ -204,6 +205,8 @@
 		if c.RemoveEndpoint.ID == "" {
 			return errors.New("command: endpoint ID is missing")
 		}
+	case c.TakeDuty != nil:
+		return c.TakeDuty.check()
 	case len(c.PartReports) > 0:
 		return c.checkPartReports()
 	case c.Register == nil && c.Deregister == nil && c.AcquireLease == nil && c.RenewLeases == nil && c.CrashReport == nil &&
--- a/internal/ctrl/machine.go
+++ b/internal/ctrl/machine.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +34,8 @@
 	return &Machine{state: NewState(), renewedAt: map[string]time.Time{}}
 }
 
-// Apply decodes a command, applies it and returns its Result.
-func (m *Machine) Apply(_ uint64, data []byte) any {
+// Apply decodes the command of the log entry at index, applies it and returns its Result.
+func (m *Machine) Apply(index uint64, data []byte) any {
 	var cmd Command
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -42,7 +44,7 @@
 		return Result{Code: Invalid, Reason: err.Error()}
 	}
 	oldVersion := m.state.Version
-	res := m.state.Apply(cmd)
+	res := m.state.Apply(index, cmd)
 	m.recordRenewals(cmd, time.Now())
 	if m.onChange != nil && m.state.Version != oldVersion {
 		m.onChange()
@@ -191,6 +193,13 @@
 	return out
 }
 
+// Duties returns the last holder of each duty and subject, in no particular order.
+func (m *Machine) Duties() []DutyRecord {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Collect(maps.Values(m.state.Duties))
+}
+
 // Spending returns the allocated part of each customer's spending ceiling, without the parts by holder.
 func (m *Machine) Spending() map[string]Spending {
 	m.mu.RLock()
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -99,6 +99,8 @@
 		PrunedVersion uint64         `json:"floor"`
 		Routing       Routing        `json:"routing"`
 		Roster        *roster.Roster `json:"roster"`
+		// Duties is indexed by duty and subject.
+		Duties map[string]DutyRecord `json:"duties,omitempty"`
 		// totalShare is the sum of the guaranteed shares of all contracts, in thousandths of a percent.
 		totalShare int64
 		// customerByKey holds the customer of each API key, by the hash of the key.
@@ -135,12 +137,12 @@
 		Leases: map[string]*Lease{}, Claims: map[string]*claim.Record{}, Spending: map[string]*Spending{},
 		Crashes: map[string]*Crash{}, Blame: blame.NewTracker(), PartVersions: map[uint64]uint64{},
 		DesiredStates: map[string]*DesiredState{}, ChangeResults: newResultCache(), SliceResults: newResultCache(),
-		Routing: newRouting(), Roster: roster.New(), customerByKey: map[string]string{},
+		Routing: newRouting(), Roster: roster.New(), Duties: map[string]DutyRecord{}, customerByKey: map[string]string{},
 	}
 }
 
-// Apply applies one command.
-func (s *State) Apply(cmd Command) Result {
+// Apply applies the command of the log entry at index.
+func (s *State) Apply(index uint64, cmd Command) Result {
 	s.NowMS = max(s.NowMS, cmd.ProposedAtMS)
 	s.expireClaims()
 	switch {
@@ -176,6 +178,8 @@
 		return s.announceEndpoint(*cmd.Announce)
 	case cmd.RemoveEndpoint != nil:
 		return s.removeEndpoint(*cmd.RemoveEndpoint)
+	case cmd.TakeDuty != nil:
+		return s.takeDuty(index, *cmd.TakeDuty)
 	}
 	return Result{Code: Invalid, Reason: "empty command"}
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -146,6 +146,16 @@
 	m.scope.Gauge(name).Update(v)
 }
 
+// CountDutyCall counts a call to the platform that ended with a result such as "ok" or "refused".
+func (m *Meter) CountDutyCall(duty, result string) {
+	m.scope.Tagged(map[string]string{"duty": duty, "result": result}).Counter("duty_calls").Inc(1)
+}
+
+// SetDutyHolder sets whether this instance holds a duty: 1 if it does, else 0.
+func (m *Meter) SetDutyHolder(duty string, holds float64) {
+	m.scope.Tagged(map[string]string{"duty": duty}).Gauge("duty_holder").Update(holds)
+}
+
 // Handler returns a handler that serves the metrics in the Prometheus text format.
 func (m *Meter) Handler() http.Handler {
 	return m.handler
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -130,7 +130,7 @@
 		return ctrl.Result{}, errors.Join(quorum.ErrNoLeader, errConnectionLost)
 	}
 	i.cluster.mu.Lock()
-	res := i.cluster.state.Apply(cmd)
+	res := i.cluster.state.Apply(0, cmd)
 	if res.Claim != nil {
 		rec := *res.Claim
 		res.Claim = &rec
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/detour"
+	"github.com/greengagewheel/greengagewheel/internal/duty"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/entry"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
@@ -64,6 +65,7 @@
 		Engines() picker.Engines
 		Operators(app *fiber.App, c Control)
 		LoadBalancer(app *fiber.App, ready func() error)
+		Duties() Duties
 	}
 
 	// Router is one instance.
@@ -86,6 +88,9 @@
 		quorumServer *quorum.Server
 		pickerServer *picker.Server
 		control      *control
+		// duties holds the duties of this instance and dutyCalls makes their calls; nil without duties in the settings.
+		duties    *duty.Keeper
+		dutyCalls Duties
 
 		// What serves callers; nil if the instance has no address for them.
 		picker       *picker.Picker
@@ -217,6 +222,7 @@
 			View: r.distributor.View, IsLeader: r.isLeader, Engines: wire.Engines(), Now: clock.Now, Log: r.log,
 		})
 		r.control = newControl(r, c)
+		r.openDuties(c, wire)
 	}
 }
 
@@ -379,6 +385,9 @@
 		r.wg.Go(func() { r.pickerServer.Run(r.ctx) })
 		r.wg.Go(func() { r.control.run(r.ctx) })
 	}
+	if r.duties != nil {
+		r.wg.Go(func() { r.runDuties(r.ctx) })
+	}
 	if r.picker != nil {
 		r.wg.Go(func() { r.registrar.Run(r.ctx) })
 		r.wg.Go(func() { r.picker.Run(r.ctx) })
