--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -10,9 +10,14 @@
 	"go.uber.org/zap"
 )
 
-// confirmShare is the part of the lease for which a confirmation of the leadership is relied on. A leader elected after the
-// confirmation acts only after a whole lease, so that the rest is left for a call to reach the platform.
-const confirmShare = 4
+const (
+	// confirmDivisor divides the lease into the time for which a confirmation of the leadership is relied on. A leader elected after
+	// the confirmation acts only after a whole lease, so that three quarters are left for a call to reach the platform.
+	confirmDivisor = 4
+	// minLease is the shortest time that an instance leads before it acts. A leader that is cut off from the others takes 0.9 s to step
+	// down, and a quorum over several availability zones must answer within the time that a confirmation is relied on.
+	minLease = time.Second
+)
 
 type (
 	// Leadership tells whether this instance leads the log.
@@ -45,7 +50,8 @@
 		Leadership Leadership
 		Taker      Taker
 		Counter    Counter
-		// Now is the clock on which Leadership.Confirm tells times; it advances while the machine is suspended.
+		// Now is the clock on which Leadership.Confirm tells times and callers of the Keeper too. It must advance while the machine is
+		// suspended and not follow changes of the system time.
 		Now func() time.Time
 		Log *zap.Logger
 	}
@@ -65,6 +71,8 @@
 		grants map[subjectKey]Grant
 		// refused holds the highest token that the platform refused, by duty and subject.
 		refused map[subjectKey]uint64
+		// logged holds the duties whose change of holder was logged in term.
+		logged map[Name]bool
 	}
 
 	// subjectKey identifies a subject of a duty.
@@ -76,30 +84,31 @@
 
 // New returns a keeper without grants.
 func New(opt Options) *Keeper {
-	return &Keeper{opt: opt, limiter: newLimiter(opt.Rate), grants: map[subjectKey]Grant{}, refused: map[subjectKey]uint64{}}
+	opt.Lease = max(opt.Lease, minLease)
+	return &Keeper{
+		opt: opt, limiter: newLimiter(opt.Rate), grants: map[subjectKey]Grant{}, refused: map[subjectKey]uint64{}, logged: map[Name]bool{},
+	}
 }
 
-// Observe records whether this instance leads the log. The time for which it has led begins with the first observation.
-func (k *Keeper) Observe(now time.Time) {
+// observe records whether this instance leads the log. It reads the clock after the term: a caller's time may be from before the
+// election, which would shorten the wait for the lease.
+func (k *Keeper) observe() {
 	term := k.opt.Leadership.Term()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.observe(now, term)
-}
-
-func (k *Keeper) observe(now time.Time, term uint64) {
 	if term == k.term {
 		return
 	}
+	now := k.opt.Now()
 	if len(k.grants) > 0 {
 		k.opt.Log.Info("duties lost", zap.String("holder", k.opt.Holder), zap.Uint64("term", k.term), zap.Int("subjects", len(k.grants)))
 	}
 	k.term, k.since, k.confirmedAt = term, now, time.Time{}
 	clear(k.grants)
 	clear(k.refused)
+	clear(k.logged)
 }
 
-// Holds reports whether this instance may take duties: it has led the log for longer than the lease.
+// Holds reports whether this instance may take duties: it has led the log for longer than the lease. That time begins with the first
+// call in a term, so that a leader must call it often.
 func (k *Keeper) Holds(now time.Time) bool {
 	_, ok := k.holdsTerm(now)
 	return ok
@@ -107,11 +116,10 @@
 
 // holdsTerm returns the term in which this instance may take duties.
 func (k *Keeper) holdsTerm(now time.Time) (term uint64, ok bool) {
-	term = k.opt.Leadership.Term()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.observe(now, term)
-	return term, term != 0 && now.Sub(k.since) > k.opt.Lease
+	k.observe()
+	return k.term, k.term != 0 && now.Sub(k.since) > k.opt.Lease
 }
 
 // Grant returns the present grant for a duty and subject, and takes it by a commit if there is none. It returns ErrNotHolder if this
@@ -154,7 +162,7 @@
 		return 0, ErrNotHolder
 	}
 	k.mu.Lock()
-	fresh := !k.confirmedAt.IsZero() && now.Sub(k.confirmedAt) < k.opt.Lease/confirmShare
+	fresh := !k.confirmedAt.IsZero() && k.opt.Now().Sub(k.confirmedAt) < k.opt.Lease/confirmDivisor
 	k.mu.Unlock()
 	if fresh {
 		return term, nil
@@ -163,12 +171,11 @@
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrNotHolder, err)
 	}
-	current := k.opt.Leadership.Term()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.observe(k.opt.Now(), current)
-	// The confirmation may have waited for a term that began since, and a suspended process may get it late.
-	if k.term != term || k.opt.Now().Sub(at) >= k.opt.Lease/confirmShare {
+	k.observe()
+	// The confirmation may be one of a later term, and a process that was frozen gets it late.
+	if k.term != term || k.opt.Now().Sub(at) >= k.opt.Lease/confirmDivisor {
 		return 0, ErrNotHolder
 	}
 	if at.After(k.confirmedAt) {
@@ -190,11 +197,10 @@
 	if err != nil {
 		return Grant{}, fmt.Errorf("%w: take duty: %w", ErrNotHolder, err)
 	}
-	current := k.opt.Leadership.Term()
 	key := subjectKey{duty, subject}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.observe(k.opt.Now(), current)
+	k.observe()
 	if k.term != term || index == 0 || index <= k.refused[key] {
 		return Grant{}, ErrNotHolder
 	}
@@ -202,7 +208,8 @@
 	if old, ok := k.grants[key]; ok && old.Token > index {
 		return old, nil
 	}
-	if previous != k.opt.Holder {
+	if !k.logged[duty] {
+		k.logged[duty] = true
 		k.opt.Log.Info("holder of duty changed", zap.String("duty", string(duty)), zap.String("subject", subject),
 			zap.String("holder", k.opt.Holder), zap.String("previous", previous), zap.Uint64("token", index))
 	}
@@ -226,6 +233,9 @@
 	}
 	err := call(ctx)
 	k.opt.Counter.CountDutyCall(string(g.Duty), resultOf(err))
+	if errors.Is(err, ErrBusy) {
+		k.limiter.pause(k.opt.Now())
+	}
 	if errors.Is(err, ErrStale) {
 		k.opt.Log.Warn("platform refused call", zap.String("duty", string(g.Duty)), zap.String("subject", g.Subject),
 			zap.Uint64("token", g.Token), zap.Error(err))
--- a/internal/duty/limiter.go
+++ b/internal/duty/limiter.go
@@ -12,6 +12,8 @@
 	rateShare = 0.9
 	// maxCallDelay is the longest wait for the rate to allow a call; beyond it the call fails with ErrBusy.
 	maxCallDelay = time.Second
+	// busyPause is the time without calls after the platform has answered that it had too many.
+	busyPause = 250 * time.Millisecond
 )
 
 // limiter spaces calls out. It is safe for concurrent use.
@@ -48,6 +50,15 @@
 	return delay, true
 }
 
+// pause allows no call for busyPause.
+func (l *limiter) pause(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if until := now.Add(busyPause + l.burst); until.After(l.next) {
+		l.next = until
+	}
+}
+
 // wait waits until a call may be made.
 func (l *limiter) wait(ctx context.Context, now func() time.Time) error {
 	delay, ok := l.reserve(now())
