--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -301,30 +301,30 @@
 		}
 		during := func() {
 			w.pass(span("during", testLease/3))
-			if rapid.IntRange(0, 9).Draw(t, "elected during") == 0 {
+			if rapid.IntRange(0, 29).Draw(t, "elected during") == 0 {
 				w.elect(rapid.IntRange(0, 2).Draw(t, "who"))
 			}
 		}
 		for _, m := range w.members {
 			m.onConfirm, m.onTake = during, during
 		}
-		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+		for range rapid.IntRange(50, 250).Draw(t, "steps") {
 			m := w.members[rapid.IntRange(0, 2).Draw(t, "member")]
 			subject := fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "subject"))
-			switch rapid.IntRange(0, 19).Draw(t, "step") {
-			case 0, 1:
+			switch rapid.IntRange(0, 49).Draw(t, "step") {
+			case 0:
 				w.elect(rapid.IntRange(0, 2).Draw(t, "who"))
-			case 2:
+			case 1:
 				m.cut = !m.cut
-			case 3:
+			case 2:
 				m.start()
-			case 4:
+			case 3:
 				if m.believes != w.term {
 					m.believes = 0
 				}
-			case 5:
+			case 4:
 				w.pass(span("long", 2*testLease))
-			case 6:
+			case 5, 6:
 				if g, err := m.keeper.Renew(context.Background(), w.now, UsageReporting, subject); err == nil {
 					_ = m.call(g)
 				}
