--- a/internal/duty/limiter.go
+++ b/internal/duty/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 )
@@ -26,11 +27,15 @@
 	next time.Time
 }
 
-// newLimiter returns a limiter for a number of calls a second.
+// newLimiter returns a limiter for a number of calls a second. A fraction is cut off above 1, as it would allow one call too many in some
+// seconds.
 func newLimiter(rate float64) *limiter {
+	if rate > 1 {
+		rate = math.Floor(rate)
+	}
 	interval := time.Duration(float64(time.Second) / (rate * rateShare))
-	calls := max(0, int(rate*(1-rateShare)+1e-9)-1)
-	return &limiter{interval: interval, burst: time.Duration(calls) * interval}
+	callsAhead := max(0, math.Round(rate*(1-rateShare))-1)
+	return &limiter{interval: interval, burst: time.Duration(callsAhead) * interval}
 }
 
 // reserve reserves the time of a call and returns how long to wait for it. It returns false, and reserves nothing, if that is longer
