--- a/internal/ctrl/usage.go
+++ b/internal/ctrl/usage.go
@@ -72,6 +72,9 @@
 	for number, w := range m.state.Usage.Windows {
 		if !w.Reported {
 			unreported[number] = w.Counts
+			if w.Counts == nil {
+				unreported[number] = map[string]int{}
+			}
 		}
 	}
 	return m.state.Usage.Latest, unreported
--- a/internal/usage/runner.go
+++ b/internal/usage/runner.go
@@ -26,6 +26,8 @@
 	// copyInterval is the interval at which the leader copies new counts to a second replica. What entries that die together with the
 	// leader counted within it is lost.
 	copyInterval = 200 * time.Millisecond
+	// copyBackoff is the time for which no copies are sent after no replica took one, as the next one holds the counts of 20 s.
+	copyBackoff = time.Second
 	// askInterval is the interval at which a new leader asks the replicas that have not answered yet for their counts.
 	askInterval = 500 * time.Millisecond
 	// clockAsks is the number of these intervals after which all replicas are asked for their time of day.
@@ -111,6 +113,8 @@
 		resendAt time.Time
 		// copyTo is the replica that holds a copy of all counts but the latest.
 		copyTo netip.AddrPort
+		// copyAfter is the time before which no copy is sent, as no replica took the last one.
+		copyAfter time.Time
 		// unasked lists the replicas that have yet to answer a new leader.
 		unasked []netip.AddrPort
 		asks    int
@@ -337,7 +341,7 @@
 	for _, replica := range replicas {
 		wg.Go(func() {
 			reply, err := r.send(ctx, replica, Copy{Want: slices.Contains(unasked, replica)})
-			if err != nil {
+			if err != nil && !errors.Is(err, ErrNoCopy) {
 				return
 			}
 			r.opt.Collector.ReceiveCopy(r.opt.Now(), &reply)
@@ -367,8 +371,11 @@
 		return
 	}
 	r.mu.Lock()
-	target := r.copyTo
+	target, resumeAt := r.copyTo, r.copyAfter
 	r.mu.Unlock()
+	if r.opt.Now().Before(resumeAt) {
+		return
+	}
 	others := r.opt.Replicas.Others()
 	if target.IsValid() && slices.Contains(others, target) {
 		others = []netip.AddrPort{target}
@@ -389,6 +396,8 @@
 		r.opt.Logger.Debug("counts not copied", zap.Stringer("to", replica), zap.Error(err))
 	}
 	r.mu.Lock()
-	r.copyTo = target
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	if r.copyTo = target; !target.IsValid() {
+		r.copyAfter = r.opt.Now().Add(copyBackoff)
+	}
 }
--- a/internal/usage/wire.go
+++ b/internal/usage/wire.go
@@ -18,6 +18,8 @@
 )
 
 var (
+	// ErrNoCopy means that a replica takes no copies of counts, as its build or its settings do not know usage.
+	ErrNoCopy    = errors.New("usage: the replica takes no copies")
 	errMalformed = errors.New("usage: malformed message")
 )
 
