--- a/internal/router/usage.go
+++ b/internal/router/usage.go
@@ -34,13 +34,14 @@
 	if !c.Duties.Has(duty.UsageReporting) {
 		return
 	}
+	retention := usage.Retention(c.Duties.Window.Std(), c.Duties.Late.Std())
 	if c.Listen.Callers.IsValid() {
-		r.usageCounter = usage.NewCounter(clock.Now, time.Now)
+		r.usageCounter = usage.NewCounter(retention, clock.Now, time.Now)
 	}
 	if r.group == nil {
 		return
 	}
-	r.usageCollector = usage.NewCollector(time.Now)
+	r.usageCollector = usage.NewCollector(retention, time.Now)
 	r.usageRunner = usage.New(usage.Options{
 		Addr: c.Duties.Address, Window: c.Duties.Window.Std(), Late: c.Duties.Late.Std(), Collector: r.usageCollector, Platform: r.dutyCalls,
 		Keeper: r.duties, Log: usageLog{r}, Replicas: usageReplicas{r}, Now: clock.Now, Logger: r.log,
--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -13,10 +13,6 @@
 	clockDrift = 200
 	// clockReportAge is the age up to which a reported time of day counts. Entries without traffic report every second.
 	clockReportAge = 5 * time.Second
-	// entryRetention is how long the counts of a silent entry are kept: longer than a window waits to be fixed and reported.
-	entryRetention = 60 * time.Second
-	// copyRetention is the age up to which counts are copied to another replica.
-	copyRetention = retention
 )
 
 type (
@@ -44,11 +40,13 @@
 
 	// Collector gathers the counts of all entries on one replica. It is safe for concurrent use.
 	Collector struct {
-		wall     func() time.Time
-		mu       sync.Mutex
-		entries  map[entryKey]*entryState
-		replicas map[netip.AddrPort]replicaClock
-		prunedAt time.Time
+		wall func() time.Time
+		// retention is how long counts are kept.
+		retention time.Duration
+		mu        sync.Mutex
+		entries   map[entryKey]*entryState
+		replicas  map[netip.AddrPort]replicaClock
+		prunedAt  time.Time
 	}
 
 	// replicaClock is the difference between another replica's time of day and this one's steady clock, in microseconds.
@@ -58,9 +56,10 @@
 	}
 )
 
-// NewCollector returns a collector without counts. wall returns the time of day of this instance.
-func NewCollector(wall func() time.Time) *Collector {
-	return &Collector{wall: wall, entries: map[entryKey]*entryState{}, replicas: map[netip.AddrPort]replicaClock{}}
+// NewCollector returns a collector without counts. wall returns the time of day of this instance, retention is how long counts are
+// kept.
+func NewCollector(retention time.Duration, wall func() time.Time) *Collector {
+	return &Collector{wall: wall, retention: retention, entries: map[entryKey]*entryState{}, replicas: map[netip.AddrPort]replicaClock{}}
 }
 
 // Receive takes a message of an entry. now is the steady clock, as in all functions.
@@ -118,11 +117,11 @@
 	}
 	c.prunedAt = now
 	for key, s := range c.entries {
-		if now.Sub(s.heardAt) > entryRetention {
+		if now.Sub(s.heardAt) > c.retention {
 			delete(c.entries, key)
 			continue
 		}
-		oldestKept := bucketOf(now.Add(-entryRetention).UnixMicro() - s.offset)
+		oldestKept := bucketOf(now.Add(-c.retention).UnixMicro() - s.offset)
 		for key := range s.numbers {
 			if key.bucket < oldestKept {
 				delete(s.numbers, key)
@@ -132,8 +131,8 @@
 	}
 }
 
-// Copy returns the counts to send to another replica: those that changed since the last call, or with all those of the last
-// 20 s.
+// Copy returns the counts to send to another replica: those that changed since the last call, or with all those that are
+// kept.
 func (c *Collector) Copy(now time.Time, all bool) Copy {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -143,7 +142,7 @@
 			Entry: key.entry, Boot: key.boot, Offset: s.offset, WallOffset: s.wallOffset, Since: s.since, Now: s.now,
 			SilentFor: max(0, now.Sub(s.heardAt).Microseconds()),
 		}
-		current, oldest := bucketOf(s.now), bucketOf(now.Add(-copyRetention).UnixMicro()-s.offset)
+		current, oldest := bucketOf(s.now), bucketOf(now.Add(-c.retention).UnixMicro()-s.offset)
 		for cell, number := range s.numbers {
 			if (all && cell.bucket >= oldest || !all && s.uncopied[cell]) && cell.bucket <= current {
 				e.Counts = append(e.Counts, Count{Age: current - cell.bucket, Organisation: cell.organisation, Number: number})
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -26,6 +26,8 @@
 		now     func() time.Time
 		wall    func() time.Time
 		changed chan struct{}
+		// retention is how long counts are kept.
+		retention time.Duration
 
 		mu    sync.Mutex
 		since int64
@@ -40,9 +42,10 @@
 	}
 )
 
-// NewCounter returns a counter without counts. now is the steady clock, wall the time of day.
-func NewCounter(now, wall func() time.Time) *Counter {
-	return &Counter{now: now, wall: wall, changed: make(chan struct{}, 1), since: now().UnixMicro(), numbers: map[cell]int{}}
+// NewCounter returns a counter without counts. now is the steady clock, wall the time of day, retention how long counts
+// are kept.
+func NewCounter(retention time.Duration, now, wall func() time.Time) *Counter {
+	return &Counter{now: now, wall: wall, retention: retention, changed: make(chan struct{}, 1), since: now().UnixMicro(), numbers: map[cell]int{}}
 }
 
 // Count counts a request of an organisation that an endpoint has begun.
@@ -113,7 +116,7 @@
 // prune drops the counts that are older than the retention, and what was acknowledged if counts after it are dropped. The caller holds
 // c.mu.
 func (c *Counter) prune(now time.Time) {
-	oldestKept := now.Add(-retention).UnixMicro()
+	oldestKept := now.Add(-c.retention).UnixMicro()
 	n := 0
 	for n < len(c.order) && c.order[n].bucket < bucketOf(oldestKept) {
 		delete(c.numbers, c.order[n])
--- a/internal/usage/runner.go
+++ b/internal/usage/runner.go
@@ -25,8 +25,8 @@
 	tickInterval = 100 * time.Millisecond
 	// copyInterval is the interval at which the leader copies new counts to a second replica. What entries that die together with the
 	// leader counted within it is lost.
-	copyInterval = 200 * time.Millisecond
-	// copyBackoff is the time for which no copies are sent after no replica took one, as the next one holds the counts of 20 s.
+	copyInterval = 100 * time.Millisecond
+	// copyBackoff is the time for which no copies are sent after no replica took one, as the next one holds all counts.
 	copyBackoff = time.Second
 	// askInterval is the interval at which a new leader asks the replicas that have not answered yet for their counts.
 	askInterval = 500 * time.Millisecond
--- a/internal/usage/wire.go
+++ b/internal/usage/wire.go
@@ -6,11 +6,12 @@
 )
 
 const (
-	// bucketLength is the span of an entry's steady clock whose requests are counted together. A bucket belongs to one window as a whole.
-	// At the end of a window of 5 s it thus misplaces 1 in 400 requests at most; buckets of 250 ms would misplace half of the tolerance.
-	bucketLength = 25 * time.Millisecond
-	// retention is how long an entry keeps its counts. It covers an election and the time until a window is fixed.
-	retention = 20 * time.Second
+	// bucketLength is the span of an entry's steady clock whose requests are counted together. A bucket belongs to one window as a whole, so
+	// requests near the end of a window may count in the next one. One misplaced request is beyond the tolerance for an organisation with
+	// fewer than 20 in a window. Entries begin some ten requests a second, so short buckets need no more room than long ones.
+	bucketLength = 5 * time.Millisecond
+	// minRetention is the shortest time for which an entry keeps its counts.
+	minRetention = 20 * time.Second
 	// maxCounts bounds the counts in one message, some 100 KB. The others follow with the next one.
 	maxCounts = 4096
 	// maxOrganisationBytes bounds the name of an organisation in a message.
@@ -109,6 +110,11 @@
 	return nil
 }
 
+// Retention returns how long an entry keeps its counts: as long as the window in which they began may still be fixed.
+func Retention(window, late time.Duration) time.Duration {
+	return max(minRetention, window+late)
+}
+
 // bucketOf returns the bucket that contains a reading of a steady clock in microseconds.
 func bucketOf(at int64) int64 {
 	length := bucketLength.Microseconds()
