--- a/internal/cmds/replica_client.go
+++ b/internal/cmds/replica_client.go
@@ -16,16 +16,21 @@
 	Conf string `long:"conf" value-name:"FILE" description:"settings file of an instance; the platform's where none is named"`
 }
 
-// connect returns a client for the replicas that the settings name.
-func (r *replicaClient) connect(env *Env) (*quorum.Client, error) {
+// settings loads the settings file.
+func (r *replicaClient) settings(env *Env) (conf.Settings, error) {
 	file := r.Conf
 	if file == "" {
 		file = env.SettingsFile
 	}
 	if file == "" {
-		return nil, usageError{errors.New("--conf FILE is required")}
+		return conf.Settings{}, usageError{errors.New("--conf FILE is required")}
 	}
-	settings, err := conf.Load(file)
+	return conf.Load(file)
+}
+
+// connect returns a client for the replicas that the settings name.
+func (r *replicaClient) connect(env *Env) (*quorum.Client, error) {
+	settings, err := r.settings(env)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ctrl/usage.go
+++ b/internal/ctrl/usage.go
@@ -63,6 +63,18 @@
 	return Result{Code: OK}
 }
 
+// Usage returns the usage of the kept windows. The counts must not be modified.
+func (m *Machine) Usage() Usage {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := Usage{Latest: m.state.Usage.Latest, Windows: map[int64]*UsageWindow{}}
+	for number, w := range m.state.Usage.Windows {
+		copied := *w
+		out.Windows[number] = &copied
+	}
+	return out
+}
+
 // UnreportedUsage returns the number of the latest window whose usage is fixed, or 0, and the counts of the kept windows that the
 // platform has not acknowledged. The counts must not be modified.
 func (m *Machine) UnreportedUsage() (latest int64, unreported map[int64]map[string]int) {
--- a/internal/quorum/server.go
+++ b/internal/quorum/server.go
@@ -58,6 +58,8 @@
 		Document bool `json:"document,omitempty"`
 		// Parts selects what is known against prompt parts.
 		Parts bool `json:"parts,omitempty"`
+		// Usage selects the usage of the latest windows.
+		Usage bool `json:"usage,omitempty"`
 	}
 
 	// QueryResult is the response to a Query. If IsLeader is false the replica is not the leader, and only Leader and Status are set.
@@ -77,6 +79,7 @@
 		Document      []byte      `json:"document,omitempty"`
 		// Parts is indexed by prompt part.
 		Parts blame.Records `json:"parts,omitempty"`
+		Usage *ctrl.Usage   `json:"usage,omitempty"`
 	}
 
 	// Server serves proposals and queries on a replica.
@@ -176,6 +179,9 @@
 		v.Document, _ = s.machine.TableDocument()
 	case q.Parts:
 		v.Parts = s.machine.Parts()
+	case q.Usage:
+		usage := s.machine.Usage()
+		v.Usage = &usage
 	case q.Fingerprint != "":
 		v.Crash = s.machine.Crash(q.Fingerprint)
 	case q.Key != "":
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -42,10 +42,11 @@
 	}
 )
 
-// NewCounter returns a counter without counts. now is the steady clock, wall the time of day, retention how long counts
-// are kept.
+// NewCounter returns a counter without counts. now is the steady clock, wall the time of day, retention how long counts are kept.
 func NewCounter(retention time.Duration, now, wall func() time.Time) *Counter {
-	return &Counter{now: now, wall: wall, retention: retention, changed: make(chan struct{}, 1), since: now().UnixMicro(), numbers: map[cell]int{}}
+	return &Counter{
+		now: now, wall: wall, retention: retention, changed: make(chan struct{}, 1), since: now().UnixMicro(), numbers: map[cell]int{},
+	}
 }
 
 // Count counts a request of an organisation that an endpoint has begun.
