--- a/internal/usage/fleet_usage_test.go
+++ b/internal/usage/fleet_usage_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/duty"
 )
 
@@ -173,6 +174,23 @@
 		So(beyond, ShouldBeLessThan, compared/50)
 		So(largest, ShouldBeLessThanOrEqualTo, 1)
 	})
+	Convey("a leader whose log has lost the windows, as through a build without usage, reports none of them anew", t, func() {
+		for seed := range uint64(5) {
+			f := newFleet(seed, 4, 3)
+			f.warmUp(played)
+			f.run(20 * time.Second)
+			f.machine = ctrl.NewMachine()
+			lostAt := f.now
+			f.killLeader()
+			f.run(settled)
+			So(f.late+f.differing, ShouldEqual, 0)
+			for window := range f.truth {
+				if begin := time.Unix(0, window*int64(testWindow)); begin.Sub(lostAt) > 2*time.Second {
+					So(f.accepted, ShouldContainKey, window)
+				}
+			}
+		}
+	})
 	Convey("windows without traffic are reported empty while entries say so", t, func() {
 		f := newFleet(3, 4, 3)
 		f.elect(0)
