--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -79,7 +79,9 @@
 		runner    *Runner
 		alive     bool
 		ledSince  time.Time
-		grant     duty.Grant
+		// rand draws the loss of copies to this replica, as they are sent by several goroutines.
+		rand  *rand.Rand
+		grant duty.Grant
 	}
 
 	event struct {
@@ -111,7 +113,9 @@
 	f.start = time.UnixMilli(1_764_980_000_000 + f.rand.Int64N(5000))
 	f.now = f.start
 	for i := range replicas {
-		f.replicas = append(f.replicas, &fleetReplica{fleet: f, index: i, clock: f.newClock()})
+		f.replicas = append(f.replicas, &fleetReplica{
+			fleet: f, index: i, clock: f.newClock(), rand: rand.New(rand.NewPCG(seed, uint64(i)+2)),
+		})
 		f.startReplica(i)
 	}
 	for i := range entries {
@@ -350,7 +354,7 @@
 func (r *fleetReplica) SendCopy(_ context.Context, to netip.AddrPort, msg Copy) (Copy, error) {
 	f := r.fleet
 	for i, other := range f.replicas {
-		if addrOf(i) == to && other.alive && f.rand.Float64() >= f.lossRate && msg.Check() == nil {
+		if addrOf(i) == to && other.alive && other.rand.Float64() >= f.lossRate && msg.Check() == nil {
 			return other.collector.Serve(other.clock.steady(), &msg), nil
 		}
 	}
