--- a/internal/ctrl/command.go
+++ b/internal/ctrl/command.go
@@ -54,6 +54,7 @@
 		Announce       *roster.Endpoint `json:"announce,omitempty"`
 		RemoveEndpoint *roster.Removal  `json:"exit,omitempty"`
 		TakeDuty       *TakeDuty        `json:"duty,omitempty"`
+		FixUsage       *FixUsage        `json:"fixUsage,omitempty"`
 	}
 
 	// ReplaceTable replaces the whole routing table if its version is higher than the current one. Source is the document as the
@@ -209,6 +210,8 @@
 		return c.TakeDuty.check()
 	case len(c.PartReports) > 0:
 		return c.checkPartReports()
+	case c.FixUsage != nil:
+		return c.FixUsage.check()
 	case c.Register == nil && c.Deregister == nil && c.AcquireLease == nil && c.RenewLeases == nil && c.CrashReport == nil &&
 		c.PartTrial == nil && c.LiftPart == nil && c.Order == nil:
 		return errors.New("command: holds no part")
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -101,6 +101,7 @@
 		Roster        *roster.Roster `json:"roster"`
 		// Duties is indexed by duty and subject.
 		Duties map[string]DutyRecord `json:"duties,omitempty"`
+		Usage  Usage                 `json:"usage,omitzero"`
 		// totalShare is the sum of the guaranteed shares of all contracts, in thousandths of a percent.
 		totalShare int64
 		// customerByKey holds the customer of each API key, by the hash of the key.
@@ -180,6 +181,8 @@
 		return s.removeEndpoint(*cmd.RemoveEndpoint)
 	case cmd.TakeDuty != nil:
 		return s.takeDuty(index, *cmd.TakeDuty)
+	case cmd.FixUsage != nil:
+		return s.fixUsage(*cmd.FixUsage)
 	}
 	return Result{Code: Invalid, Reason: "empty command"}
 }
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -80,14 +80,19 @@
 	return append(near, far...)
 }
 
-// serveAsk handles a placement request or a message about the origins of streams.
+// serveAsk handles a placement request, or a message about the origins of streams or about usage.
 func (r *Router) serveAsk(ctx context.Context, req picker.LeaderRequest) (picker.LeaderReply, error) {
 	if req.Origin != nil {
 		reply := r.origins.Serve(*req.Origin)
 		return picker.LeaderReply{Origin: &reply}, nil
 	}
+	if req.UsageCopy != nil {
+		return r.serveUsageCopy(req.UsageCopy), nil
+	}
 	if r.pickerServer == nil {
 		return picker.LeaderReply{}, twirp.NewError(twirp.Unimplemented, "requests are placed by replicas only")
 	}
-	return r.pickerServer.Serve(ctx, req)
+	reply, err := r.pickerServer.Serve(ctx, req)
+	reply.Usage = r.receiveUsage(&req)
+	return reply, err
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -35,6 +35,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/repl"
 	"github.com/greengagewheel/greengagewheel/internal/spread"
 	"github.com/greengagewheel/greengagewheel/internal/store"
+	"github.com/greengagewheel/greengagewheel/internal/usage"
 )
 
 const (
@@ -91,6 +92,10 @@
 		// duties holds the duties of this instance and dutyCalls makes their calls; nil without duties in the settings.
 		duties    *duty.Keeper
 		dutyCalls Duties
+		// usageCollector gathers the usage that usageRunner reports, usageCounter counts that of this entry instance; nil without the duty.
+		usageCollector *usage.Collector
+		usageRunner    *usage.Runner
+		usageCounter   *usage.Counter
 
 		// What serves callers; nil if the instance has no address for them.
 		picker       *picker.Picker
@@ -224,6 +229,7 @@
 		r.control = newControl(r, c)
 		r.openDuties(c, wire)
 	}
+	r.openUsage(c)
 }
 
 // replicas returns the addresses of the known replicas, followed by those of the seeds.
@@ -251,13 +257,13 @@
 func (r *Router) serveCallers(c *conf.Settings, wire Wire) {
 	r.picker = picker.New(picker.Options{
 		Self: r.self, Links: r.links, View: r.distributor.View, Leader: r.distributor.Leader, Now: clock.Now,
-		Standalone: c.Sched.Standalone, Log: r.log,
+		Standalone: c.Sched.Standalone, Usage: r.pickerUsage(), Log: r.log,
 	})
 	r.crashes = newCrashReporter(r.quorum, r.log)
 	r.proxy = proxy.New(proxy.Options{
 		Name: r.self.Name, Zone: r.self.Zone, Dialect: wire.Dialect(), Dialer: egress.NewDialer(), Sender: r.links, View: r.distributor.View,
 		ConfigCurrent: r.distributor.ConfigCurrent, Chooser: r.picker, Origins: r.origins, Crashes: r.crashes, RetryAllowance: r.currentRetryAllowance,
-		Now: clock.Now, Meter: r.meter, Log: r.log,
+		Usage: r.proxyUsage(), Now: clock.Now, Meter: r.meter, Log: r.log,
 	})
 	r.callerConns = newIdleConns()
 	r.callerServer = &http.Server{
@@ -388,6 +394,9 @@
 	if r.duties != nil {
 		r.wg.Go(func() { r.runDuties(r.ctx) })
 	}
+	if r.usageRunner != nil {
+		r.wg.Go(func() { r.usageRunner.Run(r.ctx) })
+	}
 	if r.picker != nil {
 		r.wg.Go(func() { r.registrar.Run(r.ctx) })
 		r.wg.Go(func() { r.picker.Run(r.ctx) })
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -130,6 +130,7 @@
 			r.meter.SetGauge("endpoint_connections_made", float64(dialed))
 			r.meter.SetGauge("endpoint_connections_reused", float64(reused))
 		}
+		r.updateUsageGauges()
 		received, sent := r.links.ByteCounter().Bytes()
 		r.meter.SetGauge("peer_bytes_received", float64(received))
 		r.meter.SetGauge("peer_bytes_sent", float64(sent))
