--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -28,7 +28,8 @@
 
 	// Endpoint describes one process start of an endpoint. StartedAtMS is the time of the start in Unix milliseconds, by the
 	// endpoint's clock. Slots is the number of requests that it runs at once. Build is the version of its software, or empty if that
-	// is unknown.
+	// is unknown. Spot is set for an endpoint that costs less and may be reclaimed. LeavesMS is the notice of a reclaim in milliseconds:
+	// the time left when the endpoint was first reported to leave, or 0.
 	Endpoint struct {
 		ID          string         `json:"id"`
 		Service     string         `json:"service"`
@@ -38,6 +39,8 @@
 		State       State          `json:"state"`
 		StartedAtMS int64          `json:"born"`
 		Build       string         `json:"build,omitempty"`
+		Spot        bool           `json:"spot,omitempty"`
+		LeavesMS    int64          `json:"leaves_ms,omitempty"`
 	}
 
 	// Removal reports that an endpoint has left, or, with Lost set, that it has not announced itself for a long time. StartedAtMS is
@@ -82,6 +85,8 @@
 		return errors.New("endpoint: unknown state")
 	case e.Slots < 0:
 		return errors.New("endpoint: negative slots")
+	case e.LeavesMS < 0:
+		return errors.New("endpoint: negative time until it leaves")
 	case len(e.Build) > MaxBuildBytes:
 		return errors.New("endpoint: the software version is too long")
 	}
@@ -97,21 +102,24 @@
 }
 
 // Steps returns the announcements to commit, in order, for one that a replica received; there are none if it changes nothing. An
-// announcement without a software version may have come through a replica whose build drops it; as a start never changes its version,
-// the known one is kept. One that only tells a version changes nothing for replicas of such a build, which would number all later
-// changes differently; so a step comes before it that all of them count, and that it undoes.
+// announcement without a software version or the mark of a spot endpoint may have come through a replica whose build drops them; as a
+// start never changes them, the known ones are kept. One that only tells these changes nothing for replicas of such a build, which would
+// number all later changes differently; so a step comes before it that all of them count, and that it undoes.
 func (r *Roster) Steps(e Endpoint) []Endpoint {
 	known := r.Records[e.ID]
-	if known != nil && known.Endpoint.StartedAtMS == e.StartedAtMS && e.Build == "" {
-		e.Build = known.Endpoint.Build
+	if known != nil && known.Endpoint.StartedAtMS == e.StartedAtMS {
+		if e.Build == "" {
+			e.Build = known.Endpoint.Build
+		}
+		e.Spot = e.Spot || known.Endpoint.Spot
 	}
 	if !r.WouldChange(e) {
 		return nil
 	}
-	if known != nil && known.Endpoint.Build != e.Build {
-		withoutBuild := e
-		withoutBuild.Build = known.Endpoint.Build
-		if !r.WouldChange(withoutBuild) {
+	if known != nil {
+		older := e
+		older.Build, older.Spot = known.Endpoint.Build, known.Endpoint.Spot
+		if older != e && !r.WouldChange(older) {
 			counted := e
 			counted.Slots++
 			return []Endpoint{counted, e}
@@ -129,10 +137,19 @@
 	if known == nil {
 		return true
 	}
-	if known.Endpoint.StartedAtMS == e.StartedAtMS && known.Endpoint.State == Leaving {
-		e.State = Leaving
+	return known.Endpoint != known.Endpoint.next(e)
+}
+
+// next returns what an announcement makes of the known endpoint. An endpoint that leaves does not come back within a start, and its first
+// notice stays: the notices that follow count down, and a commit for each of them would tell nothing new.
+func (e *Endpoint) next(announced Endpoint) Endpoint {
+	switch {
+	case e.StartedAtMS == announced.StartedAtMS && e.State == Leaving:
+		announced.State, announced.LeavesMS = Leaving, e.LeavesMS
+	case announced.State != Leaving:
+		announced.LeavesMS = 0
 	}
-	return known.Endpoint != e
+	return announced
 }
 
 // outdated reports whether an announcement comes from a start that has ended: that start has left, or a later one with the same
@@ -155,9 +172,7 @@
 		return nil
 	}
 	if known := r.Records[e.ID]; known != nil {
-		if known.Endpoint.StartedAtMS == e.StartedAtMS && known.Endpoint.State == Leaving {
-			e.State = Leaving
-		}
+		e = known.Endpoint.next(e)
 		delete(r.byAddr, known.Endpoint.Addr)
 	}
 	if other, ok := r.byAddr[e.Addr]; ok && other != e.ID {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -78,6 +78,21 @@
 		ConnectionLimit int `json:"conns,omitempty"`
 		// Engine is set if the endpoints are model engines.
 		Engine *Engine `json:"engine,omitempty"`
+		// Scaling is set if the number of endpoints is to be ordered by demand. It may be invalid: a table is accepted with it.
+		Scaling *Scaling `json:"scaling,omitempty"`
+	}
+
+	// Scaling bounds the number of a service's endpoints and tells their prices.
+	Scaling struct {
+		// Min and Max bound the number of endpoints in each availability zone, of both kinds together.
+		Min int `json:"min"`
+		Max int `json:"max"`
+		// Boot is the time from an order until new endpoints serve.
+		Boot time.Duration `json:"boot"`
+		// SpotPrice is the price of a spot endpoint as a part of that of a standard one, or 0 if there are none.
+		SpotPrice float64 `json:"spot,omitempty"`
+		// ZonePrices holds the price of an endpoint by availability zone.
+		ZonePrices map[string]float64 `json:"zones"`
 	}
 
 	// Organisation is a customer with the hashes of its API keys.
