--- a/internal/place/attempt.go
+++ b/internal/place/attempt.go
@@ -57,6 +57,7 @@
 	if ep.promptCache != nil {
 		ep.promptCache.touch(req.Parts)
 	}
+	b.meterOf(req.Service).addRequest(now, &req, ep.promptTime(prefill))
 	if ep.isEngine {
 		demand := b.demandOf(req.Service)
 		a.steady = demand.isSteady(&req, ep.latency.prefillTime(prefill), ep.tokensPerEvent)
@@ -111,6 +112,9 @@
 	}
 	a := ep.attempts[e.AttemptID]
 	if e.FirstAnswer > 0 {
+		if !a.answered {
+			b.meterOf(ep.info.Service).addFirstAnswer(now, &a.req, e.FirstAnswer)
+		}
 		ep.recordFirstAnswer(now, a, e.FirstAnswer)
 	}
 	if e.LongestPause > 0 && a.req.GapTarget > 0 && ep.isEngine {
@@ -189,6 +193,7 @@
 // Tick removes attempts whose end was never reported, and counts a failure for each attempt whose first answer is overdue.
 func (b *Balancer) Tick(now time.Time) {
 	b.pruneBegun(now)
+	b.sampleDemand(now)
 	for _, ep := range b.endpoints {
 		for _, a := range ep.attempts {
 			age := now.Sub(a.startedAt)
--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -56,6 +56,7 @@
 		byAttempt             map[string]*endpoint
 		latencies             map[string]*latencyModel  // by service
 		demands               map[string]*prefillDemand // by service
+		meters                map[string]*demandMeter   // by service
 		falls                 map[string]fallRecord     // by service
 		serviceTimes          map[string]time.Duration  // by service
 		begun                 map[string]begunStream    // by ID of the caller's request
@@ -70,7 +71,7 @@
 func New() *Balancer {
 	return &Balancer{
 		endpoints: map[string]*endpoint{}, byService: map[string][]*endpoint{}, byAttempt: map[string]*endpoint{},
-		latencies: map[string]*latencyModel{}, demands: map[string]*prefillDemand{}, falls: map[string]fallRecord{},
+		latencies: map[string]*latencyModel{}, demands: map[string]*prefillDemand{}, meters: map[string]*demandMeter{}, falls: map[string]fallRecord{},
 		serviceTimes: map[string]time.Duration{}, begun: map[string]begunStream{}, reservedPerBusyEngine: defaultReservedPerBusyEngine,
 		instances: 1,
 	}
