--- a/internal/ctrl/command.go
+++ b/internal/ctrl/command.go
@@ -54,6 +54,7 @@
 		Announce       *roster.Endpoint `json:"announce,omitempty"`
 		RemoveEndpoint *roster.Removal  `json:"exit,omitempty"`
 		TakeDuty       *TakeDuty        `json:"duty,omitempty"`
+		ScaleOrder     *ScaleOrder      `json:"scale,omitempty"`
 	}
 
 	// ReplaceTable replaces the whole routing table if its version is higher than the current one. Source is the document as the
@@ -207,6 +208,8 @@
 		}
 	case c.TakeDuty != nil:
 		return c.TakeDuty.check()
+	case c.ScaleOrder != nil:
+		return c.ScaleOrder.check()
 	case len(c.PartReports) > 0:
 		return c.checkPartReports()
 	case c.Register == nil && c.Deregister == nil && c.AcquireLease == nil && c.RenewLeases == nil && c.CrashReport == nil &&
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -101,6 +101,8 @@
 		Roster        *roster.Roster `json:"roster"`
 		// Duties is indexed by duty and subject.
 		Duties map[string]DutyRecord `json:"duties,omitempty"`
+		// ScaleOrders is indexed by service, zone and kind.
+		ScaleOrders map[string]ScaleOrder `json:"scale,omitempty"`
 		// totalShare is the sum of the guaranteed shares of all contracts, in thousandths of a percent.
 		totalShare int64
 		// customerByKey holds the customer of each API key, by the hash of the key.
@@ -137,7 +139,8 @@
 		Leases: map[string]*Lease{}, Claims: map[string]*claim.Record{}, Spending: map[string]*Spending{},
 		Crashes: map[string]*Crash{}, Blame: blame.NewTracker(), PartVersions: map[uint64]uint64{},
 		DesiredStates: map[string]*DesiredState{}, ChangeResults: newResultCache(), SliceResults: newResultCache(),
-		Routing: newRouting(), Roster: roster.New(), Duties: map[string]DutyRecord{}, customerByKey: map[string]string{},
+		Routing: newRouting(), Roster: roster.New(), Duties: map[string]DutyRecord{}, ScaleOrders: map[string]ScaleOrder{},
+		customerByKey: map[string]string{},
 	}
 }
 
@@ -180,6 +183,8 @@
 		return s.removeEndpoint(*cmd.RemoveEndpoint)
 	case cmd.TakeDuty != nil:
 		return s.takeDuty(index, *cmd.TakeDuty)
+	case cmd.ScaleOrder != nil:
+		return s.orderEndpoints(*cmd.ScaleOrder)
 	}
 	return Result{Code: Invalid, Reason: "empty command"}
 }
--- a/internal/place/demand.go
+++ b/internal/place/demand.go
@@ -16,7 +16,7 @@
 	peakSteps = 2
 	// warmUpSteps is the number of spans at the start of traffic that are left out of the peak and the usual demand, as caches are empty
 	// then, and a new leader hears of all requests in progress at once.
-	warmUpSteps = 3
+	warmUpSteps = 6
 	// usualSpan is the time over which the usual demand is averaged. It is longer than a burst, which must not become usual at once.
 	usualSpan = 20 * time.Second
 	// batchDivisor is the part of an engine's slots that streams may fill, one in batchDivisor, while it also prefills prompts and the
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -387,6 +387,9 @@
 	}
 	if r.duties != nil {
 		r.wg.Go(func() { r.runDuties(r.ctx) })
+		if scaler := r.newScaler(r.conf.Load()); scaler != nil {
+			r.wg.Go(func() { scaler.Run(r.ctx) })
+		}
 	}
 	if r.picker != nil {
 		r.wg.Go(func() { r.registrar.Run(r.ctx) })
--- a/internal/scale/order.go
+++ b/internal/scale/order.go
@@ -7,6 +7,8 @@
 	// Spot is set for endpoints that cost less and may be reclaimed at short notice.
 	Spot  bool `json:"p,omitempty"`
 	Count int  `json:"n"`
+	// Reason says why the order was decided on; it is logged and not stored.
+	Reason string `json:"-"`
 }
 
 // Subject returns the subject of the duty that the order belongs to: its service and zone.
--- a/pkg/table/index.go
+++ b/pkg/table/index.go
@@ -87,6 +87,17 @@
 	return idx.servicesByName[name]
 }
 
+// ScaledServices returns the services with a scaling, in the order of their names.
+func (idx *Index) ScaledServices() (scaled []*Service) {
+	for _, s := range idx.servicesByName {
+		if s.Scaling != nil {
+			scaled = append(scaled, s)
+		}
+	}
+	sort.Slice(scaled, func(i, j int) bool { return scaled[i].Name < scaled[j].Name })
+	return scaled
+}
+
 // OrganisationByKey returns the organisation that has the given API key, or nil.
 func (idx *Index) OrganisationByKey(key string) *Organisation {
 	return idx.organisationsByKeyHash[HashKey(key)]
