--- a/internal/place/demand_test.go
+++ b/internal/place/demand_test.go
@@ -23,12 +23,15 @@
 			id := fmt.Sprint("e", i)
 			endpoints[id] = roster.Endpoint{ID: id, Service: "m", State: roster.Ready, Slots: 64}
 		}
-		b.Sync(endpoints, table.New(&table.Table{Services: []table.Service{{Name: "m", Engine: &table.Engine{Slots: 64, Tokens: 1e6}}}}))
+		engine := &table.Engine{Slots: 64, Tokens: 1e6}
+		b.Sync(endpoints, table.New(&table.Table{Services: []table.Service{{Name: "m", Engine: engine}}}))
 		now := start
 		for i := 0; now.Sub(start) < span; i++ {
 			b.Tick(now)
 			id := fmt.Sprint("r", i)
-			b.Place(now, Request{AttemptID: id, Service: "m", InputTokens: tokens, Parts: parts(i), LatencyTarget: time.Second, TimeLeft: time.Minute})
+			b.Place(now, Request{
+				AttemptID: id, Service: "m", InputTokens: tokens, Parts: parts(i), LatencyTarget: time.Second, TimeLeft: time.Minute,
+			})
 			b.Apply(now, Event{AttemptID: id, FirstAnswer: 100 * time.Millisecond})
 			if i >= perSecond {
 				b.Apply(now, Event{AttemptID: fmt.Sprint("r", i-perSecond), Outcome: Completed})
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -264,8 +264,7 @@
 		return
 	}
 	p.reason = "too few endpoints serve"
-	for ; missing > 0 && p.add(false, standard); missing-- {
-	}
+	p.add(missing, false, standard)
 }
 
 // setSpot sets the numbers of spot endpoints.
@@ -276,12 +275,9 @@
 	if p.service.Demand.Known > 0 && ordered+p.standardOrdered() >= target && float64(exchanged) < exchangeBand*float64(target) {
 		wanted = min(wanted, ordered)
 	}
-	for ; ordered < wanted && p.add(true, standard); ordered++ {
-	}
-	if !lowered && spotUsed(&p.service.Scaling) {
-		return
-	}
-	for ; ordered > max(wanted, target-p.standardOrdered()) && p.remove(true, standard); ordered-- {
+	p.add(wanted-ordered, true, standard)
+	if lowered || !spotUsed(&p.service.Scaling) {
+		p.remove(ordered-max(wanted, target-p.standardOrdered()), true, standard)
 	}
 }
 
@@ -290,15 +286,13 @@
 func (p *planner) setStandard(target, standard int) {
 	ordered := p.standardOrdered()
 	if float64(standard-ordered) > raiseBand*float64(target) {
-		for ; ordered < standard && p.add(false, standard); ordered++ {
-		}
+		p.add(standard-ordered, false, standard)
 	}
 	keep := max(standard, target-p.spotThere())
 	if !p.settled() || float64(ordered-keep) < lowerBand*float64(ordered) {
 		return
 	}
-	for ; ordered > keep && p.remove(false, standard); ordered-- {
-	}
+	p.remove(ordered-keep, false, standard)
 }
 
 // settled reports whether no standard endpoints were raised a short time ago, and the spot ones that were ordered serve or are no longer
@@ -352,40 +346,42 @@
 	return (count + 1) * tilt
 }
 
-// add adds one endpoint of a kind where most are missing; it returns false if none can be added.
-func (p *planner) add(spot bool, standard int) bool {
-	var best *zone
-	for _, z := range p.zones {
-		if spot && z.noSpot || !spot && z.noStandard || z.standard+z.spot >= p.service.Scaling.Max {
-			continue
-		}
-		if best == nil || p.weight(z, spot, standard) < p.weight(best, spot, standard) {
-			best = z
+// add adds endpoints of a kind, each in the zone that weighs least, as far as there is room and they are to be had.
+func (p *planner) add(count int, spot bool, standard int) {
+	for ; count > 0; count-- {
+		best := p.best(spot, standard, -1, func(z *zone) bool {
+			return z.standard+z.spot < p.service.Scaling.Max && !(spot && z.noSpot) && !(!spot && z.noStandard)
+		})
+		if best == nil {
+			return
 		}
+		best.change(spot, 1)
 	}
-	if best == nil {
-		return false
+}
+
+// remove removes endpoints of a kind, each in the zone that weighs most, as far as the least number stays. Spot endpoints that are ordered
+// and do not serve yet do not count for that when standard ones are removed.
+func (p *planner) remove(count int, spot bool, standard int) {
+	least := p.service.Scaling.Min
+	for ; count > 0; count-- {
+		best := p.best(spot, standard, 1, func(z *zone) bool {
+			return z.count(spot) > 0 && z.standard+z.spot > least && (spot || z.standard+z.spotThere > least)
+		})
+		if best == nil {
+			return
+		}
+		best.change(spot, -1)
 	}
-	best.change(spot, 1)
-	return true
 }
 
-// remove removes one endpoint of a kind where most are there; it returns false if none can be removed.
-func (p *planner) remove(spot bool, standard int) bool {
-	var best *zone
+// best returns the zone among those that are possible with the highest weight times a sign, or nil.
+func (p *planner) best(spot bool, standard int, sign float64, possible func(*zone) bool) (best *zone) {
 	for _, z := range p.zones {
-		if z.count(spot) == 0 || z.standard+z.spot <= p.service.Scaling.Min || !spot && z.standard+z.spotThere <= p.service.Scaling.Min {
-			continue
-		}
-		if best == nil || p.weight(z, spot, standard) > p.weight(best, spot, standard) {
+		if possible(z) && (best == nil || sign*p.weight(z, spot, standard) > sign*p.weight(best, spot, standard)) {
 			best = z
 		}
 	}
-	if best == nil {
-		return false
-	}
-	best.change(spot, -1)
-	return true
+	return best
 }
 
 // keepBounds brings each zone within its bounds.
@@ -406,8 +402,8 @@
 // orders returns what differs from the last orders, or from the endpoints there where none was ordered.
 func (p *planner) orders(target, standard int) (orders []Order) {
 	d := &p.service.Demand
-	reason := fmt.Sprintf("%s: target %d with %d standard, needed %.1f, there %d, busy %.1f, peak %.1f, usual %.1f, running %d, late %.2f",
-		p.reason, target, standard, p.need, p.there(), d.Busy, d.Peak, d.Usual, d.Running, d.LateShare)
+	const format = "%s: target %d with %d standard, needed %.1f, there %d, busy %.1f, peak %.1f, usual %.1f, running %d, late %.2f"
+	reason := fmt.Sprintf(format, p.reason, target, standard, p.need, p.there(), d.Busy, d.Peak, d.Usual, d.Running, d.LateShare)
 	for _, z := range p.zones {
 		for _, kind := range []Kind{{z.name, true}, {z.name, false}} {
 			last, ordered := p.service.Orders[kind]
