--- a/internal/quorum/server.go
+++ b/internal/quorum/server.go
@@ -15,6 +15,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/group"
 	"github.com/greengagewheel/greengagewheel/internal/repl"
+	"github.com/greengagewheel/greengagewheel/internal/scale"
 	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
@@ -58,6 +59,8 @@
 		Document bool `json:"document,omitempty"`
 		// Parts selects what is known against prompt parts.
 		Parts bool `json:"parts,omitempty"`
+		// ScaleOrders selects the last orders of endpoints. A replica of an older build returns none for it.
+		ScaleOrders bool `json:"scale,omitempty"`
 	}
 
 	// QueryResult is the response to a Query. If IsLeader is false the replica is not the leader, and only Leader and Status are set.
@@ -76,7 +79,8 @@
 		Status        repl.Status `json:"status"`
 		Document      []byte      `json:"document,omitempty"`
 		// Parts is indexed by prompt part.
-		Parts blame.Records `json:"parts,omitempty"`
+		Parts       blame.Records `json:"parts,omitempty"`
+		ScaleOrders []scale.Order `json:"scale,omitempty"`
 	}
 
 	// Server serves proposals and queries on a replica.
@@ -176,6 +180,8 @@
 		v.Document, _ = s.machine.TableDocument()
 	case q.Parts:
 		v.Parts = s.machine.Parts()
+	case q.ScaleOrders:
+		v.ScaleOrders = s.machine.ScaleOrders()
 	case q.Fingerprint != "":
 		v.Crash = s.machine.Crash(q.Fingerprint)
 	case q.Key != "":
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -74,7 +74,7 @@
 		Demand    place.Demand
 		Endpoints []Endpoint
 		Orders    map[Kind]Standing
-		// ReclaimedAt is when endpoints that were being reclaimed were last seen, by zone.
+		// ReclaimedAt is when an endpoint was last told that it is reclaimed, by zone.
 		ReclaimedAt map[string]time.Time
 		// Target is the number of endpoints last decided on, or 0 if this instance has decided on none. LoweredAt is when it was lowered.
 		Target    int
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -83,6 +83,8 @@
 		accepted int
 		// refused is set if the platform refused this number, which is not sent again for a time.
 		refused bool
+		// inherited is set for an order of an earlier holder until it is first compared with the endpoints there.
+		inherited bool
 		// differsSince is since when the endpoints there differ from the number, or zero; resends counts the repeats for it.
 		differsSince time.Time
 		resends      int
@@ -100,8 +102,10 @@
 	serviceState struct {
 		orders      map[Kind]*orderState
 		reclaimedAt map[string]time.Time
-		target      int
-		loweredAt   time.Time
+		// reclaimed is the number of endpoints with a notice when they were last seen, by zone.
+		reclaimed map[string]int
+		target    int
+		loweredAt time.Time
 		// endpoints is the number of endpoints last seen, unchanged since steadySince.
 		endpoints   int
 		steadySince time.Time
@@ -158,7 +162,7 @@
 	r.held, r.services, r.subjects = held, map[string]*serviceState{}, map[string]*subjectState{}
 	if held {
 		for _, o := range r.opt.Log.Orders() {
-			r.service(o.Service).orders[o.kind()] = &orderState{Standing: Standing{Count: o.Count, Since: now}, accepted: o.Count}
+			r.service(o.Service).orders[o.kind()] = &orderState{Standing: Standing{Count: o.Count, Since: now}, accepted: o.Count, inherited: true}
 		}
 	}
 	return held
@@ -171,7 +175,7 @@
 func (r *Runner) service(name string) *serviceState {
 	s := r.services[name]
 	if s == nil {
-		s = &serviceState{orders: map[Kind]*orderState{}, reclaimedAt: map[string]time.Time{}}
+		s = &serviceState{orders: map[Kind]*orderState{}, reclaimedAt: map[string]time.Time{}, reclaimed: map[string]int{}}
 		r.services[name] = s
 	}
 	return s
@@ -222,15 +226,19 @@
 	if len(state.Endpoints) != s.endpoints || s.steadySince.IsZero() {
 		s.endpoints, s.steadySince = len(state.Endpoints), now
 	}
-	there := map[Kind]int{}
+	there, reclaimed := map[Kind]int{}, map[string]int{}
 	for _, e := range state.Endpoints {
 		if e.Reclaimed {
-			s.reclaimedAt[e.Zone] = now
+			// Reclaimed endpoints that have gone without a word are known for some time longer; they are no new reclaim.
+			if reclaimed[e.Zone]++; reclaimed[e.Zone] > s.reclaimed[e.Zone] {
+				s.reclaimedAt[e.Zone] = now
+			}
 		}
 		if !e.Leaving {
 			there[Kind{e.Zone, e.Spot}]++
 		}
 	}
+	s.reclaimed = reclaimed
 	in = Service{
 		Name: state.Name, Scaling: *state.Scaling, Demand: state.Demand, Endpoints: state.Endpoints, Orders: map[Kind]Standing{},
 		ReclaimedAt: s.reclaimedAt, Target: s.target, LoweredAt: s.loweredAt,
@@ -242,8 +250,15 @@
 	return in, len(s.orders) > 0 || now.Sub(s.steadySince) >= steadyFor
 }
 
-// compare has an order sent again if the endpoints there have differed from it for long.
+// compare has an order sent again if the endpoints there have differed from it for long. That of an earlier holder may not have been sent;
+// if it was, a lease ago at least, its endpoints have had about the boot time.
 func (o *orderState) compare(now time.Time, there int, boot time.Duration) {
+	if o.inherited {
+		o.inherited, o.Since = false, now.Add(-boot)
+		if there != o.Count {
+			o.differsSince = o.Since
+		}
+	}
 	if there == o.Count || o.refused || o.accepted != o.Count {
 		if o.differsSince = (time.Time{}); there == o.Count {
 			o.resends = 0
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -158,3 +158,22 @@
 		})
 	}
 }
+
+// TestReclaimIsSeenTooLong guards against reclaimed endpoints that have gone without a word and bar their zone while they are still known,
+// and against an order that its holder committed and could not send.
+func TestReclaimIsSeenTooLong(t *testing.T) {
+	Convey("a zone is usable some seconds after the last notice", t, func() {
+		r := newRig()
+		runner := r.runner(zap.NewNop())
+		r.state.Endpoints = append(r.state.Endpoints, Endpoint{Zone: "a", Spot: true, Leaving: true, Reclaimed: true})
+		began := r.now
+		r.run(runner, 10*time.Second)
+		So(runner.services["m"].reclaimedAt["a"], ShouldEqual, began)
+	})
+	Convey("the next holder sends an order again whose endpoints do not come", t, func() {
+		r := newRig()
+		r.orders = []Order{{Service: "m", Zone: "a", Count: 3}}
+		r.run(r.runner(zap.NewNop()), 7*time.Second)
+		So(r.calls, ShouldResemble, []string{"a false 3 token 2"})
+	})
+}
