--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -216,6 +216,14 @@
 
 // target returns the number of endpoints to have and how many of them are standard ones.
 func (p *planner) target() (target, standard int, lowered bool) {
+	if target, standard, lowered = p.step(); !spotUsed(&p.service.Scaling) {
+		standard = target
+	}
+	return target, min(target, standard), lowered
+}
+
+// step returns the next number of endpoints on the way to the one that is wanted, and the number of standard ones that belongs to the latter.
+func (p *planner) step() (target, standard int, lowered bool) {
 	s := p.service
 	d, scaling := &s.Demand, &s.Scaling
 	current := s.Target
@@ -241,11 +249,9 @@
 	case float64(wanted) < float64(current)*(1-lowerBand) && p.mayLower():
 		p.reason = "demand needs fewer"
 		current = max(wanted, current-max(1, int(lowerShare*float64(current))))
-		return current, min(current, standard), true
-	case !spotUsed(scaling):
-		standard = current
+		return current, standard, true
 	}
-	return current, min(current, standard), false
+	return current, standard, false
 }
 
 // mayLower reports whether the figures are good enough to have fewer endpoints.
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -139,12 +139,17 @@
 			So(f.service.Orders[Kind{o.Zone, true}].Count+f.service.Orders[Kind{o.Zone, false}].Count, ShouldBeLessThanOrEqualTo, 45)
 		}
 	})
-	Convey("a service in one zone, whose spot endpoints would go at once, gets none", t, func() {
-		f := newFleet(10, 70, "a")
-		f.run(6*time.Second, quiet)
-		f.run(20*time.Second, steady(4))
-		So(f.spot(), ShouldEqual, 0)
-		So(f.total(), ShouldBeBetweenOrEqual, 8, 10)
+	Convey("a service in one zone, whose spot endpoints would go at once, gets none, nor one where they cost too much", t, func() {
+		expensive := newDay()
+		expensive.service.Scaling.SpotPrice = 0.9
+		for _, f := range []*fleet{newFleet(35, 70, "a"), expensive} {
+			f.run(6*time.Second, quiet)
+			f.run(60*time.Second, steady(8))
+			So(f.total(), ShouldBeBetween, 15, 30)
+			for _, o := range f.orders {
+				So(o.Spot, ShouldBeFalse)
+			}
+		}
 	})
 	Convey("where no spot endpoints are to be had, the standard ones stay", t, func() {
 		f := newDay()
