--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -389,6 +389,7 @@
 		r.wg.Go(func() { r.runDuties(r.ctx) })
 		if scaler := r.newScaler(r.conf.Load()); scaler != nil {
 			r.wg.Go(func() { scaler.Run(r.ctx) })
+			r.wg.Go(func() { r.exportOrders(r.ctx) })
 		}
 	}
 	if r.picker != nil {
--- a/internal/router/scale.go
+++ b/internal/router/scale.go
@@ -9,6 +9,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/duty"
+	"github.com/greengagewheel/greengagewheel/internal/pace"
 	"github.com/greengagewheel/greengagewheel/internal/quorum"
 	"github.com/greengagewheel/greengagewheel/internal/roster"
 	"github.com/greengagewheel/greengagewheel/internal/scale"
@@ -34,6 +35,22 @@
 	})
 }
 
+// exportOrders regularly exports the number of endpoints ordered until ctx ends.
+func (r *Router) exportOrders(ctx context.Context) {
+	pace.Every(ctx, gaugeInterval, func() {
+		standard, spot := 0, 0
+		for _, o := range r.machine.ScaleOrders() {
+			if o.Spot {
+				spot += o.Count
+			} else {
+				standard += o.Count
+			}
+		}
+		r.meter.SetGauge("standard_endpoints_ordered", float64(standard))
+		r.meter.SetGauge("spot_endpoints_ordered", float64(spot))
+	})
+}
+
 // Services returns the services with scaling, with their demand and endpoints.
 func (f scaledFleet) Services(now time.Time) (states []scale.State) {
 	view := f.router.distributor.View()
