--- a/internal/ctrl/command.go
+++ b/internal/ctrl/command.go
@@ -55,6 +55,7 @@
 		RemoveEndpoint *roster.Removal  `json:"exit,omitempty"`
 		TakeDuty       *TakeDuty        `json:"duty,omitempty"`
 		FixUsage       *FixUsage        `json:"fixUsage,omitempty"`
+		ScaleOrder     *ScaleOrder      `json:"scale,omitempty"`
 	}
 
 	// ReplaceTable replaces the whole routing table if its version is higher than the current one. Source is the document as the
@@ -208,6 +209,8 @@
 		}
 	case c.TakeDuty != nil:
 		return c.TakeDuty.check()
+	case c.ScaleOrder != nil:
+		return c.ScaleOrder.check()
 	case len(c.PartReports) > 0:
 		return c.checkPartReports()
 	case c.FixUsage != nil:
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -102,6 +102,8 @@
 		// Duties is indexed by duty and subject.
 		Duties map[string]DutyRecord `json:"duties,omitempty"`
 		Usage  Usage                 `json:"usage,omitzero"`
+		// ScaleOrders is indexed by service, zone and kind.
+		ScaleOrders map[string]ScaleOrder `json:"scale,omitempty"`
 		// totalShare is the sum of the guaranteed shares of all contracts, in thousandths of a percent.
 		totalShare int64
 		// customerByKey holds the customer of each API key, by the hash of the key.
@@ -138,7 +140,8 @@
 		Leases: map[string]*Lease{}, Claims: map[string]*claim.Record{}, Spending: map[string]*Spending{},
 		Crashes: map[string]*Crash{}, Blame: blame.NewTracker(), PartVersions: map[uint64]uint64{},
 		DesiredStates: map[string]*DesiredState{}, ChangeResults: newResultCache(), SliceResults: newResultCache(),
-		Routing: newRouting(), Roster: roster.New(), Duties: map[string]DutyRecord{}, customerByKey: map[string]string{},
+		Routing: newRouting(), Roster: roster.New(), Duties: map[string]DutyRecord{}, ScaleOrders: map[string]ScaleOrder{},
+		customerByKey: map[string]string{},
 	}
 }
 
@@ -183,6 +186,8 @@
 		return s.takeDuty(index, *cmd.TakeDuty)
 	case cmd.FixUsage != nil:
 		return s.fixUsage(*cmd.FixUsage)
+	case cmd.ScaleOrder != nil:
+		return s.orderEndpoints(*cmd.ScaleOrder)
 	}
 	return Result{Code: Invalid, Reason: "empty command"}
 }
--- a/internal/quorum/server.go
+++ b/internal/quorum/server.go
@@ -15,6 +15,7 @@
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/group"
 	"github.com/greengagewheel/greengagewheel/internal/repl"
+	"github.com/greengagewheel/greengagewheel/internal/scale"
 	"github.com/greengagewheel/greengagewheel/pkg/endpt"
 )
 
@@ -60,6 +61,8 @@
 		Parts bool `json:"parts,omitempty"`
 		// Usage selects the usage of the latest windows.
 		Usage bool `json:"usage,omitempty"`
+		// ScaleOrders selects the last orders of endpoints. A replica of an older build returns none for it.
+		ScaleOrders bool `json:"scale,omitempty"`
 	}
 
 	// QueryResult is the response to a Query. If IsLeader is false the replica is not the leader, and only Leader and Status are set.
@@ -78,8 +81,9 @@
 		Status        repl.Status `json:"status"`
 		Document      []byte      `json:"document,omitempty"`
 		// Parts is indexed by prompt part.
-		Parts blame.Records `json:"parts,omitempty"`
-		Usage *ctrl.Usage   `json:"usage,omitempty"`
+		Parts       blame.Records `json:"parts,omitempty"`
+		Usage       *ctrl.Usage   `json:"usage,omitempty"`
+		ScaleOrders []scale.Order `json:"scale,omitempty"`
 	}
 
 	// Server serves proposals and queries on a replica.
@@ -182,6 +186,8 @@
 	case q.Usage:
 		usage := s.machine.Usage()
 		v.Usage = &usage
+	case q.ScaleOrders:
+		v.ScaleOrders = s.machine.ScaleOrders()
 	case q.Fingerprint != "":
 		v.Crash = s.machine.Crash(q.Fingerprint)
 	case q.Key != "":
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -393,6 +393,10 @@
 	}
 	if r.duties != nil {
 		r.wg.Go(func() { r.runDuties(r.ctx) })
+		if scaler := r.newScaler(r.conf.Load()); scaler != nil {
+			r.wg.Go(func() { scaler.Run(r.ctx) })
+			r.wg.Go(func() { r.exportOrders(r.ctx) })
+		}
 	}
 	if r.usageRunner != nil {
 		r.wg.Go(func() { r.usageRunner.Run(r.ctx) })
