budget, proxy, router: bound what an instance holds for clients

Cause: bodies were read with io.ReadAll and operators' bodies by fiber, without a bound for all of them together, without an end for those that stop, and any number of connections could stay without a header.

Change: package budget bounds the bytes of bodies, buffered answers, operators' bodies and requests of other instances (limits.held, by default a quarter of limits.memory). Beyond it the unfinished body with the least progress of the heaviest organisation and address is given up; 503 and 408 are only sent before a request is sent anywhere. Connections without a complete first header are bounded too. Without limits.memory and limits.held, nothing is refused or ended that was not before.

--- a/internal/conf/limits.go
+++ b/internal/conf/limits.go
@@ -37,6 +37,27 @@
 	RetryMode string `toml:"retry"`
 	// MemoryLimit is the memory limit of a process in ModeRoutes; 0 means that there is none.
 	MemoryLimit Size `toml:"memory"`
+	// HeldLimit bounds what a process in ModeRoutes holds for its clients; 0 derives it from MemoryLimit.
+	HeldLimit Size `toml:"held"`
+}
+
+const (
+	// heldDivisor is the part of the memory that is held for clients by default. The garbage collector needs as much again, and a process
+	// without clients uses some 25 MB.
+	heldDivisor = 4
+	// minHeld has room for three bodies of the default size, of which the last one is held twice for a moment.
+	minHeld = 16 << 20
+)
+
+// Held returns the bound of what a process holds for its clients, or 0 if there is none.
+func (l *Limits) Held() int64 {
+	switch {
+	case l.HeldLimit > 0:
+		return int64(l.HeldLimit)
+	case l.MemoryLimit > 0:
+		return max(int64(l.MemoryLimit)/heldDivisor, minHeld)
+	}
+	return 0
 }
 
 func defaultLimits() Limits {
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
@@ -22,6 +23,9 @@
 	maxLingerBytes = 64 << 20
 )
 
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
 // callerConn is a caller's connection.
 type callerConn struct {
 	*net.TCPConn
@@ -30,6 +34,10 @@
 	// abortive is set if the connection is to be reset when it is closed.
 	abortive atomic.Bool
 	closed   atomic.Bool
+	// givenUp is set while reading is to fail whatever deadline the server sets.
+	givenUp atomic.Bool
+	// kept is set from Keep until something is written.
+	kept atomic.Bool
 }
 
 // listener sets TCP keep-alive and a timeout for unacknowledged data on the connections of callers.
@@ -67,6 +75,40 @@
 	return n, err
 }
 
+// GiveUp makes reading fail until Keep is called, also if the server sets another deadline. Closing resets the connection.
+func (c *callerConn) GiveUp() error {
+	c.givenUp.Store(true)
+	return errors.Join(c.SetLinger(0), c.TCPConn.SetReadDeadline(pastDeadline))
+}
+
+// Keep undoes GiveUp. Until something is written, closing still resets the connection: the server may call Keep before it closes a
+// connection without an answer.
+func (c *callerConn) Keep() error {
+	c.givenUp.Store(false)
+	c.kept.Store(true)
+	return c.TCPConn.SetReadDeadline(time.Time{})
+}
+
+// Write writes to the connection.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if c.kept.Load() && c.kept.CompareAndSwap(true, false) {
+		if err := c.SetLinger(-1); err != nil {
+			return 0, err
+		}
+	}
+	return c.TCPConn.Write(p)
+}
+
+// SetReadDeadline sets the time at which reads fail.
+func (c *callerConn) SetReadDeadline(at time.Time) error {
+	err := c.TCPConn.SetReadDeadline(at)
+	// GiveUp may have been called in the meantime.
+	if c.givenUp.Load() {
+		return c.TCPConn.SetReadDeadline(pastDeadline)
+	}
+	return err
+}
+
 // SetLinger sets the behaviour of Close as net.TCPConn does; with 0 seconds, Close resets the connection.
 func (c *callerConn) SetLinger(seconds int) error {
 	c.abortive.Store(seconds == 0)
@@ -93,7 +135,7 @@
 
 // drain reads and discards what the caller still sends, and closes the connection.
 func (c *callerConn) drain() {
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.TCPConn, maxLingerBytes))
 	_ = c.TCPConn.Close()
 }
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/budget"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
 )
@@ -25,6 +26,8 @@
 	startupWaitDivisor = 3
 	// startupPollInterval is the interval between two checks whether a starting instance is ready.
 	startupPollInterval = 20 * time.Millisecond
+	// minHeldRetryAfter is the least Retry-After of an instance that holds too much for clients, which lasts for as long as they stay.
+	minHeldRetryAfter = time.Second
 	// defaultMaxBody is the largest request body if the routing table sets no limit, in bytes.
 	defaultMaxBody = 4 << 20
 )
@@ -135,18 +138,72 @@
 	if req.httpReq.ContentLength > int64(limit) {
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(req.writer, req.httpReq.Body, int64(limit)))
+	if req.httpReq.ContentLength == 0 {
+		return nil
+	}
+	hold, err := req.proxy.opt.Budget.Receive(req.client(), req.httpReq.ContentLength, func() { expireRead(req.writer) })
+	if err != nil {
+		return req.rejectBody(err)
+	}
+	req.hold = hold
+	buf := budget.NewBuffer(hold, req.httpReq.ContentLength)
+	defer buf.Drop()
+	// The reader returns an error beyond the limit.
+	if _, err = buf.Fill(http.MaxBytesReader(req.writer, req.httpReq.Body, int64(limit)), math.MaxInt64); err == nil {
+		err = hold.Finish()
+	}
+	if err != nil {
+		return req.rejectBody(err)
+	}
+	if req.body, err = buf.Bytes(); err != nil {
+		return req.rejectBody(err)
+	}
+	return nil
+}
+
+// client identifies the caller.
+func (req *request) client() budget.Client {
+	host, _, _ := net.SplitHostPort(req.httpReq.RemoteAddr)
+	return budget.Client{Organisation: req.organisationName(), Address: host}
+}
+
+// expireRead makes the reading of a request's body fail.
+func expireRead(w http.ResponseWriter) {
+	// The error means that the connection is closed, and reading fails anyway.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+}
+
+// rejectBody rejects a request whose body was not read to its end. It has not been sent to any endpoint.
+func (req *request) rejectBody(err error) *rejection {
+	if req.hold != nil {
+		if cause := req.hold.Cause(); cause != nil {
+			err = cause
+		}
+	}
 	var tooLarge *http.MaxBytesError
+	var timeout net.Error
+	rej := &rejection{status: http.StatusBadRequest, reason: "the body cannot be read: " + err.Error()}
 	switch {
 	case errors.As(err, &tooLarge):
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
-	case err != nil:
-		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() {
-			return &rejection{status: http.StatusRequestTimeout, reason: "the body came too slowly"}
-		}
-		return &rejection{status: http.StatusBadRequest, reason: "the body cannot be read: " + err.Error()}
+	case errors.Is(err, budget.ErrFull):
+		rej = &rejection{status: http.StatusServiceUnavailable, reason: budget.ErrFull.Error(), retryAfter: heldRetryAfter()}
+	case errors.Is(err, budget.ErrStalled), errors.As(err, &timeout) && timeout.Timeout():
+		rej = &rejection{status: http.StatusRequestTimeout, reason: budget.ErrStalled.Error(), retryAfter: heldRetryAfter()}
+	}
+	// The rest of the body is not read.
+	req.writer.Header().Set("Connection", "close")
+	return rej
+}
+
+// heldRetryAfter returns when to come back to an instance that holds too much. It is spread, as a crowd would come back at once.
+func heldRetryAfter() time.Duration {
+	return minHeldRetryAfter + rand.N(minHeldRetryAfter)
+}
+
+// releaseHold returns what the request holds.
+func (req *request) releaseHold() {
+	if req.hold != nil {
+		req.hold.Release()
 	}
-	req.body = body
-	return nil
 }
--- a/internal/proxy/buffer.go
+++ b/internal/proxy/buffer.go
@@ -1,7 +1,7 @@
 package proxy
 
 import (
-	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/answer"
+	"github.com/greengagewheel/greengagewheel/internal/budget"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 )
@@ -31,19 +32,27 @@
 	if resp.ContentLength > maxBufferedResponseBytes {
 		return req.relayUnbuffered(choice, call, resp, info)
 	}
-	var buf bytes.Buffer
-	n, err := io.Copy(&buf, io.LimitReader(resp.Body, maxBufferedResponseBytes+1))
-	if err != nil {
-		return req.handleBroken(choice, call, err)
+	if req.hold == nil {
+		req.hold = req.proxy.opt.Budget.Open(req.client())
 	}
-	if n > maxBufferedResponseBytes {
-		resp.Body = readCloser{io.MultiReader(&buf, resp.Body), resp.Body}
+	buf := budget.NewBuffer(req.hold, resp.ContentLength)
+	defer buf.Drop()
+	ended, err := buf.Fill(resp.Body, maxBufferedResponseBytes+1)
+	var body []byte
+	if err == nil && ended {
+		body, err = buf.Bytes()
+	}
+	switch {
+	case errors.Is(err, budget.ErrFull), err == nil && !ended:
+		resp.Body = readCloser{io.MultiReader(buf.Reader(), resp.Body), resp.Body}
 		return req.relayUnbuffered(choice, call, resp, info)
+	case err != nil:
+		return req.handleBroken(choice, call, err)
 	}
-	if err := answer.CheckBody(req.framing, resp.Header, buf.Bytes()); err != nil {
+	if err := answer.CheckBody(req.framing, resp.Header, body); err != nil {
 		return req.handleBroken(choice, call, err)
 	}
-	buffered := &bufferedResponse{status: resp.StatusCode, header: endToEnd(resp.Header), body: buf.Bytes()}
+	buffered := &bufferedResponse{status: resp.StatusCode, header: endToEnd(resp.Header), body: body}
 	call.Release(req.proxy.opt.Now(), resp, egress.IdleTimeout(info.IdleTimeout))
 	if buffered.status < http.StatusInternalServerError && !impliesNotRun(buffered.status) {
 		req.proxy.opt.Chooser.RecordOutcome(req.attemptID, place.Completed)
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewheel/greengagewheel/internal/answer"
+	"github.com/greengagewheel/greengagewheel/internal/budget"
 	"github.com/greengagewheel/greengagewheel/internal/detour"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/notice"
@@ -29,6 +31,9 @@
 	witnessTimeout = 700 * time.Millisecond
 	// detourBufferBytes is the size of the buffer for an answer that is passed on to another instance.
 	detourBufferBytes = 16 << 10
+	// detourClient stands for the organisation of requests that other instances send, unknownLength for the length of their bodies.
+	detourClient  = "instances"
+	unknownLength = -1
 )
 
 // errNoInstance means that there is no other instance by which a request could be sent.
@@ -176,7 +181,17 @@
 		http.Error(w, "order: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
+	hold, err := p.opt.Budget.Receive(budget.Client{Organisation: detourClient, Address: order.From}, unknownLength, func() { expireRead(w) })
+	if err != nil {
+		p.answerOrder(w, &order, detour.Receipt{Result: detour.Declined, Reason: err.Error()})
+		return
+	}
+	defer hold.Release()
+	body, err := readOrderBody(hold, r)
+	if cause := hold.Cause(); cause != nil || errors.Is(err, budget.ErrFull) {
+		p.answerOrder(w, &order, detour.Receipt{Result: detour.Declined, Reason: errors.Join(cause, err).Error()})
+		return
+	}
 	if err != nil {
 		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
 		return
@@ -198,6 +213,19 @@
 	p.passAnswer(w, &order, call)
 }
 
+// readOrderBody reads the body that follows an order.
+func readOrderBody(hold *budget.Hold, r *http.Request) ([]byte, error) {
+	buf := budget.NewBuffer(hold, unknownLength)
+	defer buf.Drop()
+	if _, err := buf.Fill(r.Body, math.MaxInt64); err != nil {
+		return nil, err
+	}
+	if err := hold.Finish(); err != nil {
+		return nil, err
+	}
+	return buf.Bytes()
+}
+
 // answerOrder sends a receipt and reports whether that succeeded.
 func (p *Proxy) answerOrder(w http.ResponseWriter, order *detour.Order, receipt detour.Receipt) bool {
 	p.opt.Log.Info("request of another instance", zap.String("id", order.RequestID), zap.String("run", order.RunID),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,6 +15,7 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/blame"
+	"github.com/greengagewheel/greengagewheel/internal/budget"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/detour"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
@@ -89,9 +90,11 @@
 		Crashes CrashReporter
 		// RetryAllowance returns the part of a service's requests that this instance may retry.
 		RetryAllowance func() retry.Allowance
-		Now            func() time.Time
-		Meter          *meter.Meter
-		Log            *zap.Logger
+		// Budget bounds what is held for callers; if nil, nothing does.
+		Budget *budget.Budget
+		Now    func() time.Time
+		Meter  *meter.Meter
+		Log    *zap.Logger
 	}
 
 	// Proxy forwards requests from callers on one instance.
@@ -132,15 +135,17 @@
 
 	// request is the state of one caller's request.
 	request struct {
-		proxy        *Proxy
-		httpReq      *http.Request
-		writer       http.ResponseWriter
-		caller       RequestInfo
-		route        *table.Route
-		org          *table.Organisation
-		service      *table.Service
-		retryWindow  *retry.Window
-		body         []byte
+		proxy       *Proxy
+		httpReq     *http.Request
+		writer      http.ResponseWriter
+		caller      RequestInfo
+		route       *table.Route
+		org         *table.Organisation
+		service     *table.Service
+		retryWindow *retry.Window
+		body        []byte
+		// hold is what the caller's body and a buffered answer take of the budget, or nil.
+		hold         *budget.Hold
 		tableVersion uint64
 		arrivedAt    time.Time
 		deadline     time.Time
@@ -204,6 +209,9 @@
 
 // New returns a proxy without connections to endpoints.
 func New(opt Options) *Proxy {
+	if opt.Budget == nil {
+		opt.Budget = budget.New(0, opt.Now)
+	}
 	return &Proxy{
 		opt: opt, pools: egress.New(opt.Dialer), retryWindows: newRetryWindows(), notices: notice.New(), parts: newPartWatch(opt.Log),
 		links: newLinkWatch(opt.Log), detours: newDetours(), startChecks: newStartChecks(),
@@ -303,6 +311,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{proxy: p, httpReq: r, writer: w, arrivedAt: p.opt.Now(), log: p.opt.Log}
+	defer req.releaseHold()
 	rej := req.admit()
 	switch {
 	case req.callerGone():
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/budget"
 	"github.com/greengagewheel/greengagewheel/internal/clock"
 	"github.com/greengagewheel/greengagewheel/internal/conf"
 	"github.com/greengagewheel/greengagewheel/internal/conns"
@@ -50,6 +51,10 @@
 	maxOperatorConns = 3000
 	// maxOperatorBodyBytes bounds the body of an operator's request, in bytes.
 	maxOperatorBodyBytes = 32 << 20
+	// connectionBytes is what a connection without a complete header takes at most for the most part: header, buffers and stack.
+	connectionBytes = 32 << 10
+	// budgetInterval is the interval of the ticks in which stalled bodies are counted.
+	budgetInterval = time.Second
 	// memoryLimitRatio is the fraction of the allowed memory that is set as the soft limit of the garbage collector.
 	memoryLimitRatio = 0.7
 	// gcPercent is the heap growth between two garbage collections, in percent. It is high because the heap is small
@@ -75,6 +80,7 @@
 		self         ctrl.Instance
 		links        *peer.Links
 		meter        *meter.Meter
+		budget       *budget.Budget
 		quorum       *quorum.Client
 		registrar    *quorum.Registrar
 		distributor  *spread.Distributor
@@ -115,7 +121,7 @@
 func New(c conf.Settings, file string, wire Wire, log *zap.Logger) (*Router, error) {
 	r := &Router{
 		settingsFile: file, startedAt: clock.Now(), log: log, links: peer.NewLinks(c.Keys.Secret, c.Listen.Peers.Addr()),
-		meter: meter.New(),
+		meter: meter.New(), budget: budget.New(c.Limits.Held(), clock.Now),
 	}
 	r.conf.Store(&c)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
@@ -251,32 +257,39 @@
 	r.proxy = proxy.New(proxy.Options{
 		Name: r.self.Name, Zone: r.self.Zone, Dialect: wire.Dialect(), Dialer: egress.NewDialer(), Sender: r.links, View: r.distributor.View,
 		ConfigCurrent: r.distributor.ConfigCurrent, Chooser: r.picker, Origins: r.origins, Crashes: r.crashes, RetryAllowance: r.currentRetryAllowance,
-		Now: clock.Now, Meter: r.meter, Log: r.log,
+		Budget: r.budget, Now: clock.Now, Meter: r.meter, Log: r.log,
 	})
 	r.callerConns = newIdleConns()
+	r.callerConns.maxNew = int(c.Limits.Held() / connectionBytes)
 	r.callerServer = &http.Server{
 		Handler: r.proxy, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: r.callerConns.track,
 		ErrorLog:  zap.NewStdLog(r.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
-	app := newApp()
+	app := r.newApp()
 	wire.LoadBalancer(app, func() error { return r.proxy.Ready(clock.Now()) })
 	r.apps = append(r.apps, app)
 	r.listeners = append(r.listeners, servedListener{name: "ready", serve: app.Listener})
 }
 
 func (r *Router) serveOperators(_ *conf.Settings, wire Wire) {
-	app := newApp()
+	app := r.newApp()
 	wire.Operators(app, r.control)
 	r.apps = append(r.apps, app)
 	r.listeners = append(r.listeners, servedListener{name: "operators", serve: app.Listener})
 }
 
-func newApp() *fiber.App {
-	return fiber.New(fiber.Config{
+// newApp returns an app whose handlers get whole bodies, within the budget.
+func (r *Router) newApp() *fiber.App {
+	app := fiber.New(fiber.Config{
 		BodyLimit: maxOperatorBodyBytes, Concurrency: maxOperatorConns, Immutable: true, DisableStartupMessage: true,
-		IdleTimeout: idleTimeout, ReadTimeout: idleTimeout,
+		IdleTimeout: idleTimeout, ReadTimeout: idleTimeout, StreamRequestBody: r.budget.Bounded(),
+		DisablePreParseMultipartForm: r.budget.Bounded(),
 	})
+	if r.budget.Bounded() {
+		app.Use(r.readOperatorBody)
+	}
+	return app
 }
 
 func (r *Router) peerHandler(c *conf.Settings) http.Handler {
@@ -305,7 +318,7 @@
 		addrs["callers"] = c.Listen.Callers
 	}
 	if c.Listen.Metrics.IsValid() {
-		metricsServer := &http.Server{Handler: r.meter.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+		metricsServer := &http.Server{Handler: r.meter.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 		r.listeners = append(r.listeners, servedListener{name: "metrics", serve: metricsServer.Serve})
 		addrs["metrics"] = c.Listen.Metrics
 	}
@@ -391,5 +404,6 @@
 	r.wg.Go(func() { r.distributor.Run(r.ctx) })
 	r.wg.Go(func() { r.origins.Watch(r.ctx) })
 	r.wg.Go(func() { r.watch(r.ctx) })
+	r.wg.Go(func() { r.watchBudget(r.ctx) })
 	r.wg.Go(func() { r.updateGauges(r.ctx) })
 }
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -113,6 +113,15 @@
 		r.meter.SetGauge("endpoints", float64(len(view.Endpoints)))
 		r.meter.SetGauge("prompt_parts_suspected", float64(len(view.Parts)))
 		r.meter.SetGauge("stream_origins", float64(r.origins.Len()))
+		held := r.budget.Counts()
+		r.meter.SetGauge("clients_held_bytes", float64(held.Held))
+		r.meter.SetGauge("clients_held_running_bytes", float64(held.Pinned))
+		r.meter.SetGauge("clients_bodies_given_up", float64(held.Evicted))
+		r.meter.SetGauge("clients_bodies_stalled", float64(held.Stalls))
+		r.meter.SetGauge("clients_refused_for_memory", float64(held.Refused))
+		if r.callerConns != nil {
+			r.meter.SetGauge("clients_unfinished_headers_closed", float64(r.callerConns.closedNew()))
+		}
 		if r.proxy != nil {
 			r.meter.SetGauge("requests_in_progress", float64(r.proxy.RequestsInProgress()))
 			dialed, reused := r.proxy.Pools().ConnectionCounts()
