proxy: a caller whose body was given up gets its refusal

Cause: the server cancels a request's context when reading its body fails, so a request given up by the budget counted as left by its caller, and the server completed the response as 200. Change: such requests are refused whatever the context says. A body that is complete with its first read no longer asks for the time.

--- a/internal/budget/buffer.go
+++ b/internal/budget/buffer.go
@@ -45,7 +45,10 @@
 			return false, err
 		}
 		n, err := r.Read(space)
-		b.hold.arrived(n)
+		if err == nil {
+			// A body that is complete with its first read needs no clock.
+			b.hold.arrived(n)
+		}
 		last := &b.parts[len(b.parts)-1]
 		*last = (*last)[:len(*last)+n]
 		b.size += int64(n)
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -177,7 +177,7 @@
 func (req *request) rejectBody(err error) *rejection {
 	if req.hold != nil {
 		if cause := req.hold.Cause(); cause != nil {
-			err = cause
+			err, req.bodyGivenUp = cause, true
 		}
 	}
 	var tooLarge *http.MaxBytesError
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -144,8 +144,10 @@
 		service     *table.Service
 		retryWindow *retry.Window
 		body        []byte
-		// hold is what the caller's body and a buffered answer take of the budget, or nil.
+		// hold is what the caller's body and a buffered answer take of the budget, or nil. bodyGivenUp is set if the body was given up:
+		// the server then takes the caller for gone, but it must be told that the request has not run.
 		hold         *budget.Hold
+		bodyGivenUp  bool
 		tableVersion uint64
 		arrivedAt    time.Time
 		deadline     time.Time
@@ -314,7 +316,7 @@
 	defer req.releaseHold()
 	rej := req.admit()
 	switch {
-	case req.callerGone():
+	case req.callerGone() && !req.bodyGivenUp:
 		req.finish("caller left", 0)
 		return
 	case rej != nil:
