conf, router: least values of the bounds of what is held

Cause: a small limits.held would have bounded connections without a header so low that ordinary callers who connect at once were closed. Change: limits.held is refused below 1 MiB, and 256 such connections are always allowed. Tests of conf and router pass.

--- a/internal/conf/limits.go
+++ b/internal/conf/limits.go
@@ -47,6 +47,8 @@
 	heldDivisor = 4
 	// minHeld has room for three bodies of the default size, of which the last one is held twice for a moment.
 	minHeld = 16 << 20
+	// lowestHeld is the least value of HeldLimit; with less, ordinary requests that arrive together would be refused.
+	lowestHeld = 1 << 20
 )
 
 // Held returns the bound of what a process holds for its clients, or 0 if there is none.
@@ -83,6 +85,8 @@
 		return "gap", errors.New("must be above 0s")
 	case l.CallTimeout == 0:
 		return "call", errors.New("must be above 0s")
+	case l.HeldLimit != 0 && l.HeldLimit < lowestHeld:
+		return "held", errors.New("must be 0B or at least 1MiB")
 	case l.RetryMode != RetryModeResume && l.RetryMode != RetryModeBlind:
 		return "retry", errors.New("must be \"resume\" or \"blind\"")
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,6 +53,8 @@
 	maxOperatorBodyBytes = 32 << 20
 	// connectionBytes is what a connection without a complete header takes at most for the most part: header, buffers and stack.
 	connectionBytes = 32 << 10
+	// minNewConns is the least bound of connections without a complete header. Ordinary callers that all connect at once stay below it.
+	minNewConns = 256
 	// budgetInterval is the interval of the ticks in which stalled bodies are counted.
 	budgetInterval = time.Second
 	// memoryLimitRatio is the fraction of the allowed memory that is set as the soft limit of the garbage collector.
@@ -260,7 +262,9 @@
 		Budget: r.budget, Now: clock.Now, Meter: r.meter, Log: r.log,
 	})
 	r.callerConns = newIdleConns()
-	r.callerConns.maxNew = int(c.Limits.Held() / connectionBytes)
+	if held := c.Limits.Held(); held > 0 {
+		r.callerConns.maxNew = max(int(held/connectionBytes), minNewConns)
+	}
 	r.callerServer = &http.Server{
 		Handler: r.proxy, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: r.callerConns.track,
