--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,6 +15,7 @@
 
 	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/blame"
+	"github.com/greengagewheel/greengagewheel/internal/budget"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/detour"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
@@ -96,9 +97,11 @@
 		RetryAllowance func() retry.Allowance
 		// Usage, if set, counts the requests that endpoints began.
 		Usage Usage
-		Now   func() time.Time
-		Meter *meter.Meter
-		Log   *zap.Logger
+		// Budget bounds what is held for callers; if nil, nothing does.
+		Budget *budget.Budget
+		Now    func() time.Time
+		Meter  *meter.Meter
+		Log    *zap.Logger
 	}
 
 	// Proxy forwards requests from callers on one instance.
@@ -139,15 +142,19 @@
 
 	// request is the state of one caller's request.
 	request struct {
-		proxy        *Proxy
-		httpReq      *http.Request
-		writer       http.ResponseWriter
-		caller       RequestInfo
-		route        *table.Route
-		org          *table.Organisation
-		service      *table.Service
-		retryWindow  *retry.Window
-		body         []byte
+		proxy       *Proxy
+		httpReq     *http.Request
+		writer      http.ResponseWriter
+		caller      RequestInfo
+		route       *table.Route
+		org         *table.Organisation
+		service     *table.Service
+		retryWindow *retry.Window
+		body        []byte
+		// hold is what the caller's body and a buffered answer take of the budget, or nil. bodyGivenUp is set if the body was given up:
+		// the server then takes the caller for gone, but it must be told that the request has not run.
+		hold         *budget.Hold
+		bodyGivenUp  bool
 		tableVersion uint64
 		arrivedAt    time.Time
 		deadline     time.Time
@@ -213,6 +220,9 @@
 
 // New returns a proxy without connections to endpoints.
 func New(opt Options) *Proxy {
+	if opt.Budget == nil {
+		opt.Budget = budget.New(0, opt.Now)
+	}
 	return &Proxy{
 		opt: opt, pools: egress.New(opt.Dialer), retryWindows: newRetryWindows(), notices: notice.New(), parts: newPartWatch(opt.Log),
 		links: newLinkWatch(opt.Log), detours: newDetours(), startChecks: newStartChecks(),
@@ -312,9 +322,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{proxy: p, httpReq: r, writer: w, arrivedAt: p.opt.Now(), log: p.opt.Log}
+	defer req.releaseHold()
 	rej := req.admit()
 	switch {
-	case req.callerGone():
+	case req.callerGone() && !req.bodyGivenUp:
 		req.finish("caller left", 0)
 		return
 	case rej != nil:
