place, picker: speeds of engines relative to their service

Cause: engines of a service run at different speeds (a quarter at 0.55 of the nominal one, the others at 1.2), and placement reckons with one speed. Only slowness, which forgets within seconds, tells them apart. Change: the time to first answer of prompts that an engine had to itself gives its speed; of two samples in a row the lower one counts. Leaders tell entry instances with the load (ServiceLoad.Speeds), and these a new leader (Event.Speed). An older build ignores both fields; it takes the event for one of an attempt that it does not know.

--- a/internal/picker/new_leader_test.go
+++ b/internal/picker/new_leader_test.go
@@ -67,3 +67,29 @@
 		So(took, ShouldBeLessThan, answerTimeout)
 	})
 }
+
+// TestNewLeaderIsNotToldSpeeds guards against a new leader that takes slow engines for ordinary ones, as entry instances keep to themselves
+// what the earlier leader told them.
+func TestNewLeaderIsNotToldSpeeds(t *testing.T) {
+	Convey("the first message to a new leader holds the speeds that the earlier one reported", t, func() {
+		view, leader := newView(4), addr(1)
+		p := New(Options{
+			Self: ctrl.Instance{Name: "entry-0"}, View: func() *ctrl.View { return view }, Leader: func() netip.AddrPort { return leader },
+			Now: time.Now, Log: zap.NewNop(),
+		})
+		p.syncBalancer()
+		speeds := []place.Speed{{EndpointID: "e0", Percent: 180}, {EndpointID: "e1", Percent: 82}}
+		p.recordChoice(place.Request{AttemptID: "a/1", Service: "s"}, LeaderReply{Loads: &place.ServiceLoad{Service: "s", Speeds: speeds}})
+		_, _, _ = p.takeEvents(true)
+		leader = addr(2)
+		_, events, ok := p.takeEvents(true)
+		So(ok, ShouldBeTrue)
+		var told []place.Speed
+		for _, e := range events {
+			if e.Speed != nil {
+				told = append(told, *e.Speed)
+			}
+		}
+		So(told, ShouldResemble, speeds)
+	})
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -262,6 +262,9 @@
 				p.events = append(p.events, place.Event{Brittle: &told})
 			}
 		}
+		for _, told := range p.balancer.Speeds() {
+			p.events = append(p.events, place.Event{Speed: &told})
+		}
 	}
 	events := p.events
 	p.events = nil
--- a/internal/place/attempt.go
+++ b/internal/place/attempt.go
@@ -88,7 +88,7 @@
 	return a.req.AttemptID < other.req.AttemptID
 }
 
-// Apply applies an event: the limit or the brittleness of an endpoint, or of an attempt its start at an endpoint chosen elsewhere, its first answer or
+// Apply applies an event: the limit, the brittleness or the speed of an endpoint, or of an attempt its start at an endpoint chosen elsewhere, its first answer or
 // its end.
 func (b *Balancer) Apply(now time.Time, e Event) {
 	if e.Limit != nil {
@@ -99,6 +99,10 @@
 		b.RecordBrittle(now, *e.Brittle)
 		return
 	}
+	if e.Speed != nil {
+		b.RecordSpeed(now, *e.Speed)
+		return
+	}
 	if e.Start != nil {
 		b.Cancel(e.AttemptID)
 		if ep := b.endpoints[e.EndpointID]; ep != nil {
@@ -111,7 +115,7 @@
 	}
 	a := ep.attempts[e.AttemptID]
 	if e.FirstAnswer > 0 {
-		ep.recordFirstAnswer(now, a, e.FirstAnswer)
+		b.recordFirstAnswer(now, ep, a, e.FirstAnswer)
 	}
 	if e.LongestPause > 0 && a.req.GapTarget > 0 && ep.isEngine {
 		b.demandOf(ep.info.Service).addPause(now, e.LongestPause > a.req.GapTarget)
@@ -141,8 +145,8 @@
 	}
 }
 
-// recordFirstAnswer updates the backlog, the latency model and the slow factor at the first answer of an attempt.
-func (ep *endpoint) recordFirstAnswer(now time.Time, a *attempt, latency time.Duration) {
+// recordFirstAnswer updates the backlog, the latency model, the speed and the slow factor at the first answer of an attempt.
+func (b *Balancer) recordFirstAnswer(now time.Time, ep *endpoint, a *attempt, latency time.Duration) {
 	if a.answered {
 		return
 	}
@@ -152,9 +156,10 @@
 	ep.pendingPrefillTokens -= a.prefillTokens
 	if ep.isEngine {
 		// The first answer follows the end of the prefill by the base delay.
-		ep.startNextPrefill(now.Add(-ep.latency.baseDelay))
+		ep.startNextPrefill(now.Add(-ep.speed.scaled(ep.latency.baseDelay)))
+		b.addSpeedSample(now, ep, a, latency)
 		if a.engineWasIdle {
-			ep.latency.observe(a.prefillTokens, latency)
+			ep.latency.observe(a.prefillTokens, ep.speed.nominal(latency))
 		}
 	}
 	if a.expectedLatency > 0 {
@@ -189,6 +194,7 @@
 // Tick removes attempts whose end was never reported, and counts a failure for each attempt whose first answer is overdue.
 func (b *Balancer) Tick(now time.Time) {
 	b.pruneBegun(now)
+	b.fadeSpeeds(now)
 	for _, ep := range b.endpoints {
 		for _, a := range ep.attempts {
 			age := now.Sub(a.startedAt)
--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -38,6 +38,7 @@
 		// lostAt is when the endpoint last broke off or refused a connection, or zero if it was heard of since.
 		lostAt   time.Time
 		slowness slowness
+		speed    speed
 		// silentFailures is the part of the failure count for attempts that became late since the last first answer, as of silentFailuresAt.
 		silentFailures   float64
 		silentFailuresAt time.Time
@@ -51,14 +52,18 @@
 
 	// Balancer holds the load of the endpoints and chooses among them. It is not safe for concurrent use.
 	Balancer struct {
-		endpoints             map[string]*endpoint
-		byService             map[string][]*endpoint
-		byAttempt             map[string]*endpoint
-		latencies             map[string]*latencyModel  // by service
-		demands               map[string]*prefillDemand // by service
-		falls                 map[string]fallRecord     // by service
-		serviceTimes          map[string]time.Duration  // by service
-		begun                 map[string]begunStream    // by ID of the caller's request
+		endpoints    map[string]*endpoint
+		byService    map[string][]*endpoint
+		byAttempt    map[string]*endpoint
+		latencies    map[string]*latencyModel  // by service
+		demands      map[string]*prefillDemand // by service
+		falls        map[string]fallRecord     // by service
+		serviceTimes map[string]time.Duration  // by service
+		begun        map[string]begunStream    // by ID of the caller's request
+		speeds       map[string]*serviceSpeed  // by service
+		// fadedAt is the time of the last call of fadeSpeeds; ignoreSpeeds is set in tests for comparison.
+		fadedAt               time.Time
+		ignoreSpeeds          bool
 		reservedPerBusyEngine float64
 		// name and instances are set by SetInstances.
 		name      string
@@ -71,7 +76,7 @@
 	return &Balancer{
 		endpoints: map[string]*endpoint{}, byService: map[string][]*endpoint{}, byAttempt: map[string]*endpoint{},
 		latencies: map[string]*latencyModel{}, demands: map[string]*prefillDemand{}, falls: map[string]fallRecord{},
-		serviceTimes: map[string]time.Duration{}, begun: map[string]begunStream{}, reservedPerBusyEngine: defaultReservedPerBusyEngine,
+		serviceTimes: map[string]time.Duration{}, begun: map[string]begunStream{}, speeds: map[string]*serviceSpeed{}, reservedPerBusyEngine: defaultReservedPerBusyEngine,
 		instances: 1,
 	}
 }
@@ -90,6 +95,7 @@
 		ep := b.endpoints[id]
 		if ep == nil {
 			ep = &endpoint{attempts: map[string]*attempt{}, slowness: newSlowness(), idHash: xxhash.Sum64String(id)}
+			ep.speed = newSpeed(b.speedOf(info.Service))
 			b.endpoints[id] = ep
 			added = append(added, ep)
 		}
@@ -141,6 +147,7 @@
 			b.demandOf(ep.info.Service).steadyRunning--
 		}
 	}
+	ep.speed.remove()
 	delete(b.endpoints, ep.info.ID)
 }
 
--- a/internal/place/cost.go
+++ b/internal/place/cost.go
@@ -51,13 +51,18 @@
 	return best
 }
 
+// prefillTime returns the estimated time in which this engine prefills a number of tokens.
+func (ep *endpoint) prefillTime(tokens int) time.Duration {
+	return ep.speed.scaled(ep.latency.prefillTime(tokens))
+}
+
 // backlog returns the estimated time that an engine needs to prefill the prompts that it already has.
 func (ep *endpoint) backlog(now time.Time) time.Duration {
 	if ep.prefilling == nil {
 		return 0
 	}
-	return max(0, ep.latency.prefillTime(ep.prefilling.prefillTokens)-now.Sub(ep.prefillSince)) +
-		ep.latency.prefillTime(ep.pendingPrefillTokens-ep.prefilling.prefillTokens)
+	return max(0, ep.prefillTime(ep.prefilling.prefillTokens)-now.Sub(ep.prefillSince)) +
+		ep.prefillTime(ep.pendingPrefillTokens-ep.prefilling.prefillTokens)
 }
 
 // expectedLatency returns the expected time to the first answer of a request, without the endpoint's slow factor.
@@ -66,8 +71,8 @@
 		waiting := max(0, ep.running()-ep.slots+1)
 		return defaultCallLatency + defaultCallLatency*time.Duration(waiting)/time.Duration(max(1, ep.slots))
 	}
-	return ep.latency.baseDelay + ep.backlog(now) + ep.otherLoad.Backlog + ep.latency.prefillTime(prefillTokens) +
-		time.Duration(fetchTokens)*fetchTimePerToken + time.Duration(ep.running())*latencyPerRunning
+	return ep.backlog(now) + ep.otherLoad.Backlog + time.Duration(fetchTokens)*fetchTimePerToken +
+		ep.speed.scaled(ep.latency.baseDelay+ep.latency.prefillTime(prefillTokens)+time.Duration(ep.running())*latencyPerRunning)
 }
 
 func (ep *endpoint) running() int {
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -10,7 +10,7 @@
 
 // LoadExcept returns the load of a service's endpoints without the attempts of one entry instance, which knows its own.
 func (b *Balancer) LoadExcept(now time.Time, service, entry string) ServiceLoad {
-	loads := ServiceLoad{Service: service, Limits: b.Limits(now, service), Brittles: b.Brittles(now, service)}
+	loads := ServiceLoad{Service: service, Limits: b.Limits(now, service), Brittles: b.Brittles(now, service), Speeds: b.speedsOf(service)}
 	for _, ep := range b.byService[service] {
 		load := EndpointLoad{ID: ep.info.ID, FailureTenths: int(math.Round(ep.recentFailures(now) * failureUnit))}
 		for _, a := range ep.attempts {
@@ -19,7 +19,7 @@
 			}
 			load.Running++
 			if !a.answered && ep.isEngine {
-				load.Backlog += ep.latency.prefillTime(a.prefillTokens)
+				load.Backlog += ep.prefillTime(a.prefillTokens)
 			}
 		}
 		if load != (EndpointLoad{ID: load.ID}) {
@@ -51,6 +51,9 @@
 			ep.otherLoad = load
 		}
 	}
+	for _, told := range loads.Speeds {
+		b.RecordSpeed(now, told)
+	}
 }
 
 // ClearOtherLoad clears the load from other entry instances.
--- a/internal/place/types.go
+++ b/internal/place/types.go
@@ -91,13 +91,15 @@
 		LoadAge time.Duration `json:"age,omitempty"`
 	}
 
-	// Event reports progress of an attempt, or the limit or brittleness of an endpoint.
+	// Event reports progress of an attempt, or the limit, brittleness or speed of an endpoint.
 	Event struct {
 		AttemptID string `json:"run,omitempty"`
 		// Limit reports what an endpoint said of its limit; no other field is set then.
 		Limit *Limit `json:"limit,omitempty"`
 		// Brittle reports what an endpoint said of its brittleness; no other field is set then.
 		Brittle *Brittle `json:"brittle,omitempty"`
+		// Speed reports the speed of an engine that an earlier leader learned; no other field is set then.
+		Speed *Speed `json:"speed,omitempty"`
 		// Start and EndpointID report an attempt for which the entry instance chose the endpoint.
 		Start      *Request `json:"start,omitempty"`
 		EndpointID string   `json:"at,omitempty"`
@@ -117,6 +119,8 @@
 		Limits []Limit `json:"l,omitempty"`
 		// Brittles holds the brittle endpoints.
 		Brittles []Brittle `json:"f,omitempty"`
+		// Speeds holds the known speeds of the engines, if they differ.
+		Speeds []Speed `json:"v,omitempty"`
 	}
 
 	// EndpointLoad is the load of an endpoint as seen by the leader.
