place: entries that choose alone reckon with the others' choices since the last report

Cause: while the leader does not answer, all entry instances choose by the same report, up to 3.5 s old, and all take the endpoints that it shows as idle. Change: an instance estimates the others' requests since the report by its own, lets them fill the lowest loads until these are level, counts what was worked off since, and chooses at its own moment of the round, with a random part of the cost as wide as the load of one request. The leader's choices, and those of a single instance, are as before.

--- a/internal/place/attempt.go
+++ b/internal/place/attempt.go
@@ -53,6 +53,7 @@
 		ep.brittle.limiter.take(now)
 	}
 	ep.pendingPrefillTokens += prefill
+	b.countOwn(req.Service, ep.latency.prefillTime(prefill))
 	b.byAttempt[req.AttemptID] = ep
 	if ep.promptCache != nil {
 		ep.promptCache.touch(req.Parts)
--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -48,6 +48,8 @@
 		brittle *brittleness
 		// otherLoad is the load from other entry instances, as the leader reported it.
 		otherLoad EndpointLoad
+		// projected is what is expected of it at present.
+		projected projectedLoad
 	}
 
 	// Balancer holds the load of the endpoints and chooses among them. It is not safe for concurrent use.
@@ -61,10 +63,14 @@
 		serviceTimes map[string]time.Duration  // by service
 		begun        map[string]begunStream    // by ID of the caller's request
 		speeds       map[string]*serviceSpeed  // by service
-		// fadedAt is the time of the last call of fadeSpeeds; ignoreSpeeds is set in tests for comparison.
+		// fadedAt is the time of the last call of fadeSpeeds; ignoreSpeeds and ignoreOthers are set in tests for comparison.
 		fadedAt               time.Time
 		ignoreSpeeds          bool
+		ignoreOthers          bool
 		reservedPerBusyEngine float64
+		reports               map[string]*loadReport // by service
+		// levels is reused by levelLoad.
+		levels []time.Duration
 		// name and instances are set by SetInstances.
 		name      string
 		instances int
@@ -76,7 +82,8 @@
 	return &Balancer{
 		endpoints: map[string]*endpoint{}, byService: map[string][]*endpoint{}, byAttempt: map[string]*endpoint{},
 		latencies: map[string]*latencyModel{}, demands: map[string]*prefillDemand{}, falls: map[string]fallRecord{},
-		serviceTimes: map[string]time.Duration{}, begun: map[string]begunStream{}, speeds: map[string]*serviceSpeed{}, reservedPerBusyEngine: defaultReservedPerBusyEngine,
+		serviceTimes: map[string]time.Duration{}, begun: map[string]begunStream{}, speeds: map[string]*serviceSpeed{},
+		reports: map[string]*loadReport{}, reservedPerBusyEngine: defaultReservedPerBusyEngine,
 		instances: 1,
 	}
 }
--- a/internal/place/cost.go
+++ b/internal/place/cost.go
@@ -39,11 +39,19 @@
 	if len(eps) > 0 {
 		reserved = demand.reservedEngines(len(eps), eps[0].slots, b.reservedPerBusyEngine)
 	}
+	var jitter time.Duration
+	var seed uint64
+	if b.instances > 1 && !b.ignoreOthers {
+		jitter, seed = b.projectLoads(now, req)
+	}
 	for i, ep := range eps {
 		if !ep.accepts(req) || b.waitOf(now, ep) > 0 {
 			continue
 		}
 		cost := b.cost(now, ep, req, loc) + ep.reservationCost(demand, req, loc, i < reserved, reserved > 0)
+		if jitter > 0 {
+			cost += time.Duration(unitInterval(seed^ep.idHash) * float64(jitter))
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = ep, cost
 		}
@@ -68,17 +76,22 @@
 // expectedLatency returns the expected time to the first answer of a request, without the endpoint's slow factor.
 func (ep *endpoint) expectedLatency(now time.Time, prefillTokens, fetchTokens int) time.Duration {
 	if !ep.isEngine {
-		waiting := max(0, ep.running()-ep.slots+1)
+		waiting := max(0, ep.expectedRunning()-ep.slots+1)
 		return defaultCallLatency + defaultCallLatency*time.Duration(waiting)/time.Duration(max(1, ep.slots))
 	}
-	return ep.backlog(now) + ep.otherLoad.Backlog + time.Duration(fetchTokens)*fetchTimePerToken +
-		ep.speed.scaled(ep.latency.baseDelay+ep.latency.prefillTime(prefillTokens)+time.Duration(ep.running())*latencyPerRunning)
+	return ep.backlog(now) + ep.projected.work + time.Duration(fetchTokens)*fetchTimePerToken +
+		ep.speed.scaled(ep.latency.baseDelay+ep.latency.prefillTime(prefillTokens)+time.Duration(ep.expectedRunning())*latencyPerRunning)
 }
 
 func (ep *endpoint) running() int {
 	return len(ep.attempts) + ep.otherLoad.Running
 }
 
+// expectedRunning returns the expected number of requests in progress, see projectLoads.
+func (ep *endpoint) expectedRunning() int {
+	return len(ep.attempts) + ep.projected.running
+}
+
 // reservationCost returns the cost of choosing an endpoint that is reserved for steady streams or not, while some are.
 func (ep *endpoint) reservationCost(demand *prefillDemand, req *Request, loc promptLocation, reserved, someReserved bool) time.Duration {
 	if !ep.isEngine || !someReserved {
@@ -105,13 +118,13 @@
 			total -= time.Duration(preferredGain * float64(ep.latency.prefillTime(loc.sharedTokens)))
 		}
 	} else {
-		total += time.Duration(ep.running()) * defaultCallLatency / time.Duration(max(1, 4*ep.slots))
+		total += time.Duration(ep.expectedRunning()) * defaultCallLatency / time.Duration(max(1, 4*ep.slots))
 	}
-	if ep.slots > 0 && ep.running() >= ep.slots {
+	if ep.slots > 0 && ep.expectedRunning() >= ep.slots {
 		total += fullPenalty
 	}
 	if ep.info.Zone != req.Zone {
 		total += crossZonePenalty + time.Duration(req.BodyBytes+bytesPerToken*req.OutputTokens)*crossZonePerByte
 	}
-	return total + time.Duration((ep.recentFailures(now)+float64(ep.otherLoad.FailureTenths)/failureUnit)*float64(failurePenalty))
+	return total + ep.projected.rest + time.Duration((ep.recentFailures(now)+float64(ep.otherLoad.FailureTenths)/failureUnit)*float64(failurePenalty))
 }
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -43,12 +43,14 @@
 func (b *Balancer) SetOtherLoad(now time.Time, loads ServiceLoad) {
 	b.setLimits(now, loads.Service, loads.Limits)
 	b.setBrittles(now, loads.Service, loads.Brittles)
+	report := b.reportOf(loads.Service)
+	report.at, report.own = now, 0
 	for _, ep := range b.byService[loads.Service] {
-		ep.otherLoad = EndpointLoad{}
+		ep.setOtherLoad(EndpointLoad{})
 	}
 	for _, load := range loads.Endpoints {
 		if ep := b.endpoints[load.ID]; ep != nil {
-			ep.otherLoad = load
+			ep.setOtherLoad(load)
 		}
 	}
 	for _, told := range loads.Speeds {
@@ -59,6 +61,13 @@
 // ClearOtherLoad clears the load from other entry instances.
 func (b *Balancer) ClearOtherLoad() {
 	for _, ep := range b.endpoints {
-		ep.otherLoad = EndpointLoad{}
+		ep.setOtherLoad(EndpointLoad{})
 	}
+	for _, report := range b.reports {
+		report.at, report.own = time.Time{}, 0
+	}
+}
+
+func (ep *endpoint) setOtherLoad(load EndpointLoad) {
+	ep.otherLoad, ep.projected = load, projectedLoad{running: load.Running, work: load.Backlog}
 }
