--- a/internal/place/speed_test.go
+++ b/internal/place/speed_test.go
@@ -159,7 +159,7 @@
 
 // TestAlikeEnginesPlacedDifferently guards against noise that is taken for differences of speed.
 func TestAlikeEnginesPlacedDifferently(t *testing.T) {
-	Convey("engines that are alike but for noise and silences are chosen exactly as without speeds", t, func() {
+	Convey("engines that are alike but for noise are chosen exactly as without speeds", t, func() {
 		for seed := uint64(1); seed <= 8; seed++ {
 			with := &unevenPlay{balancer: New(), slowdown: alike}
 			with.run(seed)
