--- a/internal/place/balancer.go
+++ b/internal/place/balancer.go
@@ -38,6 +38,7 @@
 		// lostAt is when the endpoint last broke off or refused a connection, or zero if it was heard of since.
 		lostAt   time.Time
 		slowness slowness
+		speed    speed
 		// silentFailures is the part of the failure count for attempts that became late since the last first answer, as of silentFailuresAt.
 		silentFailures   float64
 		silentFailuresAt time.Time
@@ -47,20 +48,30 @@
 		brittle *brittleness
 		// otherLoad is the load from other entry instances, as the leader reported it.
 		otherLoad EndpointLoad
+		// projected is what is expected of it at present.
+		projected projectedLoad
 	}
 
 	// Balancer holds the load of the endpoints and chooses among them. It is not safe for concurrent use.
 	Balancer struct {
-		endpoints             map[string]*endpoint
-		byService             map[string][]*endpoint
-		byAttempt             map[string]*endpoint
-		latencies             map[string]*latencyModel  // by service
-		demands               map[string]*prefillDemand // by service
-		meters                map[string]*demandMeter   // by service
-		falls                 map[string]fallRecord     // by service
-		serviceTimes          map[string]time.Duration  // by service
-		begun                 map[string]begunStream    // by ID of the caller's request
+		endpoints    map[string]*endpoint
+		byService    map[string][]*endpoint
+		byAttempt    map[string]*endpoint
+		latencies    map[string]*latencyModel  // by service
+		demands      map[string]*prefillDemand // by service
+		meters       map[string]*demandMeter   // by service
+		falls        map[string]fallRecord     // by service
+		serviceTimes map[string]time.Duration  // by service
+		begun        map[string]begunStream    // by ID of the caller's request
+		speeds       map[string]*serviceSpeed  // by service
+		// fadedAt is the time of the last call of fadeSpeeds; ignoreSpeeds and ignoreOthers are set in tests for comparison.
+		fadedAt               time.Time
+		ignoreSpeeds          bool
+		ignoreOthers          bool
 		reservedPerBusyEngine float64
+		reports               map[string]*loadReport // by service
+		// levels is reused by levelLoad.
+		levels []time.Duration
 		// name and instances are set by SetInstances.
 		name      string
 		instances int
@@ -71,8 +82,10 @@
 func New() *Balancer {
 	return &Balancer{
 		endpoints: map[string]*endpoint{}, byService: map[string][]*endpoint{}, byAttempt: map[string]*endpoint{},
-		latencies: map[string]*latencyModel{}, demands: map[string]*prefillDemand{}, meters: map[string]*demandMeter{}, falls: map[string]fallRecord{},
-		serviceTimes: map[string]time.Duration{}, begun: map[string]begunStream{}, reservedPerBusyEngine: defaultReservedPerBusyEngine,
+		latencies: map[string]*latencyModel{}, demands: map[string]*prefillDemand{}, meters: map[string]*demandMeter{},
+		falls:        map[string]fallRecord{},
+		serviceTimes: map[string]time.Duration{}, begun: map[string]begunStream{}, speeds: map[string]*serviceSpeed{},
+		reports: map[string]*loadReport{}, reservedPerBusyEngine: defaultReservedPerBusyEngine,
 		instances: 1,
 	}
 }
@@ -91,6 +104,7 @@
 		ep := b.endpoints[id]
 		if ep == nil {
 			ep = &endpoint{attempts: map[string]*attempt{}, slowness: newSlowness(), idHash: xxhash.Sum64String(id)}
+			ep.speed = newSpeed(b.speedOf(info.Service))
 			b.endpoints[id] = ep
 			added = append(added, ep)
 		}
@@ -142,6 +156,7 @@
 			b.demandOf(ep.info.Service).steadyRunning--
 		}
 	}
+	ep.speed.remove()
 	delete(b.endpoints, ep.info.ID)
 }
 
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -10,7 +10,7 @@
 
 // LoadExcept returns the load of a service's endpoints without the attempts of one entry instance, which knows its own.
 func (b *Balancer) LoadExcept(now time.Time, service, entry string) ServiceLoad {
-	loads := ServiceLoad{Service: service, Limits: b.Limits(now, service), Brittles: b.Brittles(now, service)}
+	loads := ServiceLoad{Service: service, Limits: b.Limits(now, service), Brittles: b.Brittles(now, service), Speeds: b.speedsOf(service)}
 	for _, ep := range b.byService[service] {
 		load := EndpointLoad{ID: ep.info.ID, FailureTenths: int(math.Round(ep.recentFailures(now) * failureUnit))}
 		for _, a := range ep.attempts {
@@ -19,7 +19,7 @@
 			}
 			load.Running++
 			if !a.answered && ep.isEngine {
-				load.Backlog += ep.latency.prefillTime(a.prefillTokens)
+				load.Backlog += ep.prefillTime(a.prefillTokens)
 			}
 		}
 		if load != (EndpointLoad{ID: load.ID}) {
@@ -43,19 +43,31 @@
 func (b *Balancer) SetOtherLoad(now time.Time, loads ServiceLoad) {
 	b.setLimits(now, loads.Service, loads.Limits)
 	b.setBrittles(now, loads.Service, loads.Brittles)
+	report := b.reportOf(loads.Service)
+	report.at, report.own = now, 0
 	for _, ep := range b.byService[loads.Service] {
-		ep.otherLoad = EndpointLoad{}
+		ep.setOtherLoad(EndpointLoad{})
 	}
 	for _, load := range loads.Endpoints {
 		if ep := b.endpoints[load.ID]; ep != nil {
-			ep.otherLoad = load
+			ep.setOtherLoad(load)
 		}
 	}
+	for _, told := range loads.Speeds {
+		b.RecordSpeed(now, told)
+	}
 }
 
 // ClearOtherLoad clears the load from other entry instances.
 func (b *Balancer) ClearOtherLoad() {
 	for _, ep := range b.endpoints {
-		ep.otherLoad = EndpointLoad{}
+		ep.setOtherLoad(EndpointLoad{})
+	}
+	for _, report := range b.reports {
+		report.at, report.own = time.Time{}, 0
 	}
 }
+
+func (ep *endpoint) setOtherLoad(load EndpointLoad) {
+	ep.otherLoad, ep.projected = load, projectedLoad{running: load.Running, work: load.Backlog}
+}
