scale: send an order again after a call without an answer, also if it is the number before

Cause: a call without an answer left the number accepted last unchanged. When the plan then returned to that number it was not sent, although the unanswered call may have been carried out: endpoints that the plan wants to keep were missing for the boot time and 6 s.

Change: after such a call the accepted number is unknown, so that the present order is sent in any case, with a larger token.

Result: the new test in TestOrderIsLostOrRepeated fails before (two calls instead of three) and passes now.

--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -29,6 +29,8 @@
 	resendMargin = 6 * time.Second
 	// maxResends bounds the doublings of the time.
 	maxResends = 6
+	// unknownCount stands for a number that this instance does not know. It differs from that of any order.
+	unknownCount = -1
 )
 
 type (
@@ -79,7 +81,7 @@
 	// orderState is the last order of a kind and what became of it.
 	orderState struct {
 		Standing
-		// accepted is the number that the platform has accepted last, as far as this instance knows.
+		// accepted is the number that the platform has accepted last, or unknownCount.
 		accepted int
 		// refused is set if the platform refused this number, which is not sent again for a time.
 		refused bool
@@ -273,7 +275,7 @@
 		since = o.Since
 	}
 	if now.Sub(since) > (boot+resendMargin)<<o.resends {
-		o.accepted, o.differsSince, o.resends = -1, time.Time{}, min(o.resends+1, maxResends)
+		o.accepted, o.differsSince, o.resends = unknownCount, time.Time{}, min(o.resends+1, maxResends)
 	}
 }
 
@@ -286,7 +288,7 @@
 	s := r.service(order.Service)
 	o := s.orders[order.kind()]
 	if o == nil {
-		o = &orderState{accepted: -1}
+		o = &orderState{accepted: unknownCount}
 		s.orders[order.kind()] = o
 	}
 	o.Count, o.Since, o.refused, o.differsSince = order.Count, now, false, time.Time{}
@@ -352,8 +354,9 @@
 		}
 		o.accepted = order.Count
 	case errors.Is(err, duty.ErrUnanswered):
-		// The call may be carried out later: it is fenced off by a larger token, and the order sent again.
-		subject.renew, subject.retryAt = true, now.Add(retryAfter)
+		// The call may have been carried out, or be later. A larger token fences it off, and the order is sent again even if it is by then
+		// for the number that the platform had accepted before.
+		subject.renew, subject.retryAt, o.accepted = true, now.Add(retryAfter), unknownCount
 	case errors.Is(err, duty.ErrBusy), errors.Is(err, duty.ErrNotHolder), ctx.Err() != nil:
 		subject.retryAt = now.Add(retryAfter)
 	default:
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -124,6 +124,16 @@
 		r.run(runner, 30*time.Second)
 		So(r.calls, ShouldHaveLength, 3)
 	})
+	Convey("after a call without an answer the number before it is sent again, as the call may have been carried out", t, func() {
+		r := newRig()
+		runner := r.runner(zap.NewNop())
+		r.run(runner, 2*time.Second)
+		r.state.Scaling.Min, r.errs = 4, []error{duty.ErrUnanswered}
+		r.run(runner, planInterval)
+		r.state.Scaling.Min, r.state.Scaling.Max = 3, 3
+		r.run(runner, 2*time.Second)
+		So(r.calls, ShouldResemble, []string{"a false 3 token 1", "a false 4 token 1", "a false 3 token 2"})
+	})
 	Convey("the next holder starts from the committed order and sends nothing", t, func() {
 		r := newRig()
 		r.run(r.runner(zap.NewNop()), 2*time.Second)
