scale: keep the accepted order after a refusal

Cause: while a kind was refused, its number became that of the endpoints that serve. Endpoints of an accepted order that were still starting did not count, so that a refused order for more was followed by one that cancelled them.

Change: while a kind is refused, the number is at least the one that the platform accepted before.

--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -60,9 +60,10 @@
 	}
 
 	// Standing is the last order of a kind. Since is when it was committed, or when this instance became the holder; RefusedAt is when the
-	// platform refused it, or zero.
+	// platform refused it, or zero. Accepted is the number that the platform accepted last, or 0 if that is not known.
 	Standing struct {
 		Count     int
+		Accepted  int
 		Since     time.Time
 		RefusedAt time.Time
 	}
@@ -178,21 +179,24 @@
 }
 
 // standing returns the number of a kind to start from and whether no more of it are to be had now. While that is so, the number is that of
-// the endpoints that stay.
+// the endpoints that stay, or that were accepted before the refusal: some of those may still be starting, and a lower order would cancel
+// them.
 func (p *planner) standing(kind Kind, there int, reclaimed bool) (count int, none bool) {
 	last, ordered := p.service.Orders[kind]
 	switch {
 	case reclaimed:
 		return 0, true
 	case ordered && !last.RefusedAt.IsZero() && p.now.Sub(last.RefusedAt) < refusalPause:
-		return there, true
+		count, none = max(there, min(last.Accepted, last.Count)), true
 	case !ordered:
 		return there, false
+	default:
+		count = last.Count
 	}
 	if p.now.Sub(last.Since) < p.service.Scaling.Boot+settleMargin {
-		p.booting += max(0, last.Count-there)
+		p.booting += max(0, count-there)
 	}
-	return last.Count, false
+	return count, none
 }
 
 func (p *planner) sum(count func(*zone) int) (n int) {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -247,7 +247,9 @@
 	}
 	for kind, o := range s.orders {
 		o.compare(now, there[kind], state.Scaling.Boot)
-		in.Orders[kind] = o.Standing
+		last := o.Standing
+		last.Accepted = max(0, o.accepted)
+		in.Orders[kind] = last
 	}
 	return in, len(s.orders) > 0 || now.Sub(s.steadySince) >= steadyFor
 }
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -134,6 +134,19 @@
 		r.run(runner, 2*time.Second)
 		So(r.calls, ShouldResemble, []string{"a false 3 token 1", "a false 4 token 1", "a false 3 token 2"})
 	})
+	Convey("after a refusal the number accepted before stays ordered, as its endpoints may still be starting", t, func() {
+		r := newRig()
+		runner := r.runner(zap.NewNop())
+		r.state.Scaling.Min, r.state.Scaling.Max, r.state.Demand = 1, 20, steady(3)(time.Minute)
+		r.run(runner, 2*time.Second)
+		So(r.calls, ShouldHaveLength, 1)
+		accepted := r.orders[0].Count
+		So(accepted, ShouldBeGreaterThan, 4)
+		r.state.Demand, r.errs = steady(6)(time.Minute), []error{duty.ErrStale, duty.ErrStale}
+		r.run(runner, 2*time.Second)
+		So(r.calls, ShouldHaveLength, 3)
+		So(r.orders[len(r.orders)-1].Count, ShouldEqual, accepted)
+	})
 	Convey("the next holder starts from the committed order and sends nothing", t, func() {
 		r := newRig()
 		r.run(r.runner(zap.NewNop()), 2*time.Second)
