scale: a new leader keeps all endpoints until it has figures

Cause: the first plan of a new holder took the standard endpoints beyond a share of the spot ones for part of an exchange and removed them at once. After reclaims they stand in for spot endpoints, and nothing may be lowered before 5 s of load figures.

Change: during traffic the first plan starts from all endpoints that are ordered. Steps down follow once the figures allow them.

--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -231,10 +231,16 @@
 	s := p.service
 	d, scaling := &s.Demand, &s.Scaling
 	current := s.Target
-	if current == 0 || d.Known == 0 {
-		// Without traffic, endpoints that announce themselves late still add to the number. The spot endpoints of an exchange that goes on are on top of the standard ones that they replace.
+	switch {
+	case d.Known == 0:
+		// Without traffic, endpoints that announce themselves late still add to the number. The spot endpoints of an exchange in progress
+		// are on top of the standard ones that they replace.
 		all, spot := p.standardOrdered(), p.spotOrdered()
 		current = max(current, all, spot+min(all, sizeUnknown(d, scaling, max(all, spot))))
+	case current == 0:
+		// During traffic, standard endpoints that are on top of an exchange cannot be told from ones that stand in for reclaimed spot ones.
+		// All are kept until the figures allow steps down.
+		current = p.standardOrdered() + p.spotOrdered()
 	}
 	current = min(max(1, current, len(p.zones)*scaling.Min), len(p.zones)*scaling.Max)
 	p.reason = "endpoints exchanged"
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -241,6 +241,18 @@
 		So(len(f.orders), ShouldEqual, before)
 		So(f.total(), ShouldEqual, total)
 	})
+	Convey("nor does it remove standard endpoints that stand in for spot ones", t, func() {
+		f := busyDay(38)
+		for _, zone := range []string{"a", "b", "c", "d"} {
+			kind := Kind{zone, false}
+			f.serving[kind] += 5
+			f.service.Orders[kind] = Standing{Count: f.serving[kind], Since: f.now.Add(-time.Minute)}
+		}
+		total := f.total()
+		f.service.Target, f.service.LoweredAt = 0, time.Time{}
+		f.run(4*time.Second, func(at time.Duration) place.Demand { return steady(38)(at + time.Second) })
+		So(f.total(), ShouldBeGreaterThanOrEqualTo, total)
+	})
 	Convey("neither a collapse of the figures nor none at all lowers the number", t, func() {
 		f := busyDay(38)
 		before := len(f.orders)
