usage: a window without counts is given up only once it would be fixed in any case

Cause: if no entry reached the leader for a whole window, nothing was known of it and no entry counted as missing, so that it was given up 250 ms after its end. The entries keep the counts for 20 s and send them when they reach the leader again.

Change: such a window waits as long as one that some entries have not reported, 4 s with the usual settings.

--- a/internal/usage/fleet_usage_test.go
+++ b/internal/usage/fleet_usage_test.go
@@ -191,6 +191,18 @@
 			}
 		}
 	})
+	Convey("a window whose counts come late, as entries did not reach the leader, is not given up", t, func() {
+		f := newFleet(4, 4, 3)
+		f.warmUp(played)
+		f.run(testWindow - time.Duration(f.now.UnixNano()%int64(testWindow)))
+		window := f.now.UnixNano() / int64(testWindow)
+		f.believed = -1
+		f.run(testWindow + 2*time.Second)
+		f.believed = f.leader
+		f.run(settled)
+		So(f.accepted, ShouldContainKey, window)
+		So(f.late+f.differing, ShouldEqual, 0)
+	})
 	Convey("windows without traffic are reported empty while entries say so", t, func() {
 		f := newFleet(3, 4, 3)
 		f.elect(0)
--- a/internal/usage/runner.go
+++ b/internal/usage/runner.go
@@ -184,7 +184,8 @@
 	next, ok := r.nextWindow(now, trueNow, latest, trueNow.Add(-now.Sub(since)))
 	for ; ok && !trueNow.Before(r.end(next).Add(endMargin)); next++ {
 		counts, known, whole := r.opt.Collector.window(now, r.begin(next), r.end(next))
-		if !whole && trueNow.Sub(r.end(next)) < r.opt.Late*fixPercent/100 {
+		// Entries that did not reach this instance for a whole window keep its counts, and still send them.
+		if !(whole && known) && trueNow.Sub(r.end(next)) < r.opt.Late*fixPercent/100 {
 			break
 		}
 		if !known {
