usage: a window waits for entries that did not reach the leader for all of it

Cause: an entry counted as missing only if it was heard since the window began. One that was cut off from the leader for longer than a window was left out, and the window fixed 250 ms after its end without its counts, although they came 2 s later. The same happened to all entries but the first that reached the leader again.

Change: entries heard since the window before began count as missing. An entry that died without a successor now delays two windows to 4 s after their end instead of one, still 6 s before the report is due.

Result: with one of 4 entries, or all, cut off for 7 s, all 12 counts of the window were beyond the tolerance; now at most one is, by one request.

--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -223,7 +223,8 @@
 }
 
 // window returns the counts of the requests that began from one true time to another. known is unset if nothing is known of that time.
-// whole is set if all entries that were heard since its beginning have reported all of it.
+// whole is set if all entries that were heard since the beginning of the window before have reported all of it: one that did not reach this
+// replica for a whole window may have begun requests in it.
 func (c *Collector) window(now, from, to time.Time) (counts map[string]int, known, whole bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -238,7 +239,7 @@
 			}
 		}
 		known = known || s.since <= begin && s.through >= end
-		if s.now >= begin && s.through < end && !c.superseded(key, s) {
+		if s.now >= begin-(end-begin) && s.through < end && !c.superseded(key, s) {
 			whole = false
 		}
 	}
--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -69,6 +69,8 @@
 		alive   bool
 		// frozenUntil is the time until which nothing is sent or counted.
 		frozenUntil time.Time
+		// sendsAfter is the time until which it counts and reaches no replica.
+		sendsAfter time.Time
 	}
 
 	fleetReplica struct {
@@ -177,7 +179,7 @@
 
 // send has an entry report its counts to the replica that it takes for the leader, at times twice.
 func (f *fleet) send(e *fleetEntry, boot string) {
-	if f.believed < 0 || f.now.Before(e.frozenUntil) {
+	if f.believed < 0 || f.now.Before(e.frozenUntil) || f.now.Before(e.sendsAfter) {
 		return
 	}
 	to := f.believed
--- a/internal/usage/fleet_usage_test.go
+++ b/internal/usage/fleet_usage_test.go
@@ -202,6 +202,23 @@
 		f.run(settled)
 		So(f.accepted, ShouldContainKey, window)
 		So(f.late+f.differing, ShouldEqual, 0)
+		begin := time.Unix(0, window*int64(testWindow))
+		// A request at the edge of a window may count in the next one, which is beyond the tolerance of a small organisation.
+		_, beyond, largest := f.deviations(begin, begin.Add(testWindow))
+		So(beyond, ShouldBeLessThanOrEqualTo, 1)
+		So(largest, ShouldBeLessThanOrEqualTo, 1)
+	})
+	Convey("a window waits for the counts of an entry that did not reach the leader for all of it", t, func() {
+		f := newFleet(5, 4, 3)
+		f.warmUp(played)
+		f.run(testWindow - time.Duration(f.now.UnixNano()%int64(testWindow)))
+		begin, cut := f.now, f.entries[1]
+		cut.sendsAfter = begin.Add(testWindow + 2*time.Second)
+		f.run(settled)
+		// A request at the edge of a window may count in the next one, which is beyond the tolerance of a small organisation.
+		_, beyond, largest := f.deviations(begin, begin.Add(testWindow))
+		So(beyond, ShouldBeLessThanOrEqualTo, 1)
+		So(largest, ShouldBeLessThanOrEqualTo, 1)
 	})
 	Convey("windows without traffic are reported empty while entries say so", t, func() {
 		f := newFleet(3, 4, 3)
