usage: an acknowledged window is not sent once more by chance

Cause: the windows to report were read from the log before the lock was taken. If the note that a window was acknowledged was applied in between, and its mark removed, the window was reported once more. The platform ignores the repeat, but calls are paid.

Change: read them with the lock held. Not reproduced by a test, as it needs a switch between two goroutines at that point.

--- a/internal/usage/runner.go
+++ b/internal/usage/runner.go
@@ -300,9 +300,10 @@
 // pending returns the windows to be reported, the oldest first, and their counts. It gives up those that are too late.
 func (r *Runner) pending(now time.Time) (windows []int64, counts map[int64]map[string]int) {
 	trueNow := r.opt.Collector.TrueTime(now)
-	_, counts = r.opt.Log.UnreportedUsage()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// With the lock held, a window that was acknowledged is either in done or noted in the log; otherwise it would be sent again.
+	_, counts = r.opt.Log.UnreportedUsage()
 	for _, window := range slices.Sorted(maps.Keys(counts)) {
 		switch tooLate := !trueNow.Before(r.end(window).Add(r.opt.Late)); {
 		case r.done[window] || r.expired[window]:
