usage: a new leader waits for the other replicas before it fixes an earlier window

Cause: a new leader asked the other replicas for the counts of entries that died with the old one, but fixed windows 1.5 s after its start whether they had answered or not. Dead entries that it had never heard of did not count as missing either.

Change: a window that began before the leader's start waits for the answers of all replicas, 4 s after its end at most with the usual settings. A replica that is down delays up to two windows for each change of leader.

--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -81,6 +81,8 @@
 		runner    *Runner
 		alive     bool
 		ledSince  time.Time
+		// cutUntil is the time until which it exchanges no copies.
+		cutUntil time.Time
 		// rand draws the loss of copies to this replica, as they are sent by several goroutines.
 		rand  *rand.Rand
 		grant duty.Grant
@@ -356,7 +358,7 @@
 func (r *fleetReplica) SendCopy(_ context.Context, to netip.AddrPort, msg Copy) (Copy, error) {
 	f := r.fleet
 	for i, other := range f.replicas {
-		if addrOf(i) == to && other.alive && other.rand.Float64() >= f.lossRate && msg.Check() == nil {
+		if addrOf(i) == to && other.alive && !f.now.Before(other.cutUntil) && other.rand.Float64() >= f.lossRate && msg.Check() == nil {
 			return other.collector.Serve(other.clock.steady(), &msg), nil
 		}
 	}
--- a/internal/usage/fleet_usage_test.go
+++ b/internal/usage/fleet_usage_test.go
@@ -96,6 +96,22 @@
 		t.Logf("%d of %d counts beyond the tolerance", beyond, compared)
 		So(beyond, ShouldBeLessThan, compared/50)
 	})
+	Convey("a new leader waits for the second replica, which answers some seconds late", t, func() {
+		f := newFleet(6, 20, 3)
+		f.warmUp(played)
+		f.run(2*testWindow - time.Duration(f.now.UnixNano()%int64(testWindow)) - 500*time.Millisecond)
+		for i := range 5 {
+			f.entries[i].alive = false
+		}
+		f.replicas[0].alive, f.leader = false, -1
+		f.replicas[1].cutUntil = f.now.Add(3 * time.Second)
+		f.after(400*time.Millisecond, func() { f.elect(2) })
+		end := f.now.Add(500 * time.Millisecond)
+		f.run(settled)
+		_, _, largest := f.deviations(end.Add(-testWindow), end)
+		So(largest, ShouldBeLessThanOrEqualTo, 2)
+		So(f.late+f.differing, ShouldEqual, 0)
+	})
 }
 
 // TestReportsToFaultyPlatform guards against reports that differ from earlier ones, come late, or stop after a refusal, while the
--- a/internal/usage/runner.go
+++ b/internal/usage/runner.go
@@ -181,11 +181,14 @@
 	}
 	trueNow := r.opt.Collector.TrueTime(now)
 	latest, _ := r.opt.Log.UnreportedUsage()
-	next, ok := r.nextWindow(now, trueNow, latest, trueNow.Add(-now.Sub(since)))
+	leaderAt := trueNow.Add(-now.Sub(since))
+	next, ok := r.nextWindow(now, trueNow, latest, leaderAt)
 	for ; ok && !trueNow.Before(r.end(next).Add(endMargin)); next++ {
 		counts, known, whole := r.opt.Collector.window(now, r.begin(next), r.end(next))
-		// Entries that did not reach this instance for a whole window keep its counts, and still send them.
-		if !(whole && known) && trueNow.Sub(r.end(next)) < r.opt.Late*fixPercent/100 {
+		// Entries that did not reach this instance for a whole window keep its counts, and still send them. Those of entries that died with
+		// the leader before are at another replica.
+		missing := !whole || !known || r.begin(next).Before(leaderAt) && r.awaitsReplicas()
+		if missing && trueNow.Sub(r.end(next)) < r.opt.Late*fixPercent/100 {
 			break
 		}
 		if !known {
@@ -203,6 +206,13 @@
 	}
 }
 
+// awaitsReplicas reports whether a replica has yet to answer this new leader.
+func (r *Runner) awaitsReplicas() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.unasked) > 0
+}
+
 // nextWindow returns the window to fix next, or false if that is not known yet. Without a fixed window it is the first one in which an
 // entry counted, unless entries counted long before this instance became the leader at leaderAt: the log may then come from a build
 // without usage, which has lost what was fixed, and those windows must not be reported anew.
