conf: refuse a rate of duties that is no finite number

Cause: rate = nan and rate = inf were accepted. The conversion of an interval derived from NaN differs between x86-64 and arm64.

Change: both are refused like a negative rate.

Result: the new test in duties_test.go fails before and passes now, as does the package.

--- a/internal/conf/duties.go
+++ b/internal/conf/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -66,8 +67,8 @@
 		return "address", errors.New("is missing")
 	case len(d.Names) == 0:
 		return "names", errors.New("is missing or empty")
-	case d.Rate < 0:
-		return "rate", errors.New("is negative")
+	case math.IsNaN(d.Rate) || math.IsInf(d.Rate, 0) || d.Rate < 0:
+		return "rate", errors.New("must be a finite number that is not negative")
 	case d.Tolerance < 0 || d.Tolerance > 1:
 		return "tolerance", errors.New("must be 0 to 1")
 	}
--- a/internal/conf/duties_test.go
+++ b/internal/conf/duties_test.go
@@ -130,6 +130,15 @@
 		So(c.Duties.Lease.Std(), ShouldEqual, defaultDutyLease)
 		So(c.Duties.Window.Std(), ShouldEqual, defaultUsageWindow)
 	})
+	Convey("a rate that is no finite number is refused, as intervals are derived from it", t, func() {
+		for _, rate := range []string{"nan", "inf", "-1.0"} {
+			_, err := Parse("x.toml", []byte(renderSettings(``, ``)+
+				"\n[duties]\naddress = \"10.0.0.9:80\"\nnames = [\"autoscaling\"]\nrate = "+rate+"\n"))
+			var problems Problems
+			So(errors.As(err, &problems), ShouldBeTrue)
+			So(problems[0].Key, ShouldEqual, "duties.rate")
+		}
+	})
 	Convey("a section without address is refused, with its line", t, func() {
 		text := renderSettings(``, ``) + "\n[duties]\nnames = [\"autoscaling\"]\n"
 		_, err := Parse("x.toml", []byte(text))
