--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -231,7 +231,7 @@
 	there, reclaimed := map[Kind]int{}, map[string]int{}
 	for _, e := range state.Endpoints {
 		if e.Reclaimed {
-			// Reclaimed endpoints that have gone without a word are known for some time longer; they are no new reclaim.
+			// Reclaimed endpoints that left without reporting it stay registered for some time; they are no new reclaim.
 			if reclaimed[e.Zone]++; reclaimed[e.Zone] > s.reclaimed[e.Zone] {
 				s.reclaimedAt[e.Zone] = now
 			}
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -182,7 +182,7 @@
 	}
 }
 
-// TestReclaimIsSeenTooLong guards against reclaimed endpoints that have gone without a word and bar their zone while they are still known,
+// TestReclaimIsSeenTooLong guards against reclaimed endpoints that left without reporting it and bar their zone while they are registered,
 // and against an order that its holder committed and could not send.
 func TestReclaimIsSeenTooLong(t *testing.T) {
 	Convey("a zone is usable some seconds after the last notice", t, func() {
