--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -60,9 +60,10 @@
 	}
 
 	// Standing is the last order of a kind. Since is when it was committed, or when this instance became the holder; RefusedAt is when the
-	// platform refused it, or zero.
+	// platform refused it, or zero. Accepted is the number that the platform accepted last, or 0 if that is not known.
 	Standing struct {
 		Count     int
+		Accepted  int
 		Since     time.Time
 		RefusedAt time.Time
 	}
@@ -178,21 +179,24 @@
 }
 
 // standing returns the number of a kind to start from and whether no more of it are to be had now. While that is so, the number is that of
-// the endpoints that stay.
+// the endpoints that stay, or that were accepted before the refusal: some of those may still be starting, and a lower order would cancel
+// them.
 func (p *planner) standing(kind Kind, there int, reclaimed bool) (count int, none bool) {
 	last, ordered := p.service.Orders[kind]
 	switch {
 	case reclaimed:
 		return 0, true
 	case ordered && !last.RefusedAt.IsZero() && p.now.Sub(last.RefusedAt) < refusalPause:
-		return there, true
+		count, none = max(there, min(last.Accepted, last.Count)), true
 	case !ordered:
 		return there, false
+	default:
+		count = last.Count
 	}
 	if p.now.Sub(last.Since) < p.service.Scaling.Boot+settleMargin {
-		p.booting += max(0, last.Count-there)
+		p.booting += max(0, count-there)
 	}
-	return last.Count, false
+	return count, none
 }
 
 func (p *planner) sum(count func(*zone) int) (n int) {
@@ -227,10 +231,16 @@
 	s := p.service
 	d, scaling := &s.Demand, &s.Scaling
 	current := s.Target
-	if current == 0 || d.Known == 0 {
-		// Without traffic, endpoints that announce themselves late still add to the number. The spot endpoints of an exchange that goes on are on top of the standard ones that they replace.
+	switch {
+	case d.Known == 0:
+		// Without traffic, endpoints that announce themselves late still add to the number. The spot endpoints of an exchange in progress
+		// are on top of the standard ones that they replace.
 		all, spot := p.standardOrdered(), p.spotOrdered()
 		current = max(current, all, spot+min(all, sizeUnknown(d, scaling, max(all, spot))))
+	case current == 0:
+		// During traffic, standard endpoints that are on top of an exchange cannot be told from ones that stand in for reclaimed spot ones.
+		// All are kept until the figures allow steps down.
+		current = p.standardOrdered() + p.spotOrdered()
 	}
 	current = min(max(1, current, len(p.zones)*scaling.Min), len(p.zones)*scaling.Max)
 	p.reason = "endpoints exchanged"
--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -69,6 +69,8 @@
 		alive   bool
 		// frozenUntil is the time until which nothing is sent or counted.
 		frozenUntil time.Time
+		// sendsAfter is the time until which it counts and reaches no replica.
+		sendsAfter time.Time
 	}
 
 	fleetReplica struct {
@@ -79,6 +81,8 @@
 		runner    *Runner
 		alive     bool
 		ledSince  time.Time
+		// cutUntil is the time until which it exchanges no copies.
+		cutUntil time.Time
 		// rand draws the loss of copies to this replica, as they are sent by several goroutines.
 		rand  *rand.Rand
 		grant duty.Grant
@@ -177,7 +181,7 @@
 
 // send has an entry report its counts to the replica that it takes for the leader, at times twice.
 func (f *fleet) send(e *fleetEntry, boot string) {
-	if f.believed < 0 || f.now.Before(e.frozenUntil) {
+	if f.believed < 0 || f.now.Before(e.frozenUntil) || f.now.Before(e.sendsAfter) {
 		return
 	}
 	to := f.believed
@@ -354,7 +358,7 @@
 func (r *fleetReplica) SendCopy(_ context.Context, to netip.AddrPort, msg Copy) (Copy, error) {
 	f := r.fleet
 	for i, other := range f.replicas {
-		if addrOf(i) == to && other.alive && other.rand.Float64() >= f.lossRate && msg.Check() == nil {
+		if addrOf(i) == to && other.alive && !f.now.Before(other.cutUntil) && other.rand.Float64() >= f.lossRate && msg.Check() == nil {
 			return other.collector.Serve(other.clock.steady(), &msg), nil
 		}
 	}
--- a/internal/usage/fleet_usage_test.go
+++ b/internal/usage/fleet_usage_test.go
@@ -96,6 +96,22 @@
 		t.Logf("%d of %d counts beyond the tolerance", beyond, compared)
 		So(beyond, ShouldBeLessThan, compared/50)
 	})
+	Convey("a new leader waits for the second replica, which answers some seconds late", t, func() {
+		f := newFleet(6, 20, 3)
+		f.warmUp(played)
+		f.run(2*testWindow - time.Duration(f.now.UnixNano()%int64(testWindow)) - 500*time.Millisecond)
+		for i := range 5 {
+			f.entries[i].alive = false
+		}
+		f.replicas[0].alive, f.leader = false, -1
+		f.replicas[1].cutUntil = f.now.Add(3 * time.Second)
+		f.after(400*time.Millisecond, func() { f.elect(2) })
+		end := f.now.Add(500 * time.Millisecond)
+		f.run(settled)
+		_, _, largest := f.deviations(end.Add(-testWindow), end)
+		So(largest, ShouldBeLessThanOrEqualTo, 2)
+		So(f.late+f.differing, ShouldEqual, 0)
+	})
 }
 
 // TestReportsToFaultyPlatform guards against reports that differ from earlier ones, come late, or stop after a refusal, while the
@@ -191,6 +207,35 @@
 			}
 		}
 	})
+	Convey("a window whose counts come late, as entries did not reach the leader, is not given up", t, func() {
+		f := newFleet(4, 4, 3)
+		f.warmUp(played)
+		f.run(testWindow - time.Duration(f.now.UnixNano()%int64(testWindow)))
+		window := f.now.UnixNano() / int64(testWindow)
+		f.believed = -1
+		f.run(testWindow + 2*time.Second)
+		f.believed = f.leader
+		f.run(settled)
+		So(f.accepted, ShouldContainKey, window)
+		So(f.late+f.differing, ShouldEqual, 0)
+		begin := time.Unix(0, window*int64(testWindow))
+		// A request at the edge of a window may count in the next one, which is beyond the tolerance of a small organisation.
+		_, beyond, largest := f.deviations(begin, begin.Add(testWindow))
+		So(beyond, ShouldBeLessThanOrEqualTo, 1)
+		So(largest, ShouldBeLessThanOrEqualTo, 1)
+	})
+	Convey("a window waits for the counts of an entry that did not reach the leader for all of it", t, func() {
+		f := newFleet(5, 4, 3)
+		f.warmUp(played)
+		f.run(testWindow - time.Duration(f.now.UnixNano()%int64(testWindow)))
+		begin, cut := f.now, f.entries[1]
+		cut.sendsAfter = begin.Add(testWindow + 2*time.Second)
+		f.run(settled)
+		// A request at the edge of a window may count in the next one, which is beyond the tolerance of a small organisation.
+		_, beyond, largest := f.deviations(begin, begin.Add(testWindow))
+		So(beyond, ShouldBeLessThanOrEqualTo, 1)
+		So(largest, ShouldBeLessThanOrEqualTo, 1)
+	})
 	Convey("windows without traffic are reported empty while entries say so", t, func() {
 		f := newFleet(3, 4, 3)
 		f.elect(0)
