router: the budget of clients reads a clock without a system call

The budget used the clock that goes on while the machine is suspended, a system call for each body and for each read of a body in several reads. time.Now takes none. It stands still during a suspension, so a body is not taken for stalled because the machine was stopped; the totals do not depend on it otherwise.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -133,7 +133,9 @@
 func New(c conf.Settings, file string, wire Wire, log *zap.Logger) (*Router, error) {
 	r := &Router{
 		settingsFile: file, startedAt: clock.Now(), log: log, links: peer.NewLinks(c.Keys.Secret, c.Listen.Peers.Addr()),
-		meter: meter.New(), budget: budget.New(c.Limits.Held(), clock.Now),
+		meter: meter.New(),
+		// The clock of time.Now stands still while the machine is suspended, so that no client is blamed for that. It takes no system call.
+		budget: budget.New(c.Limits.Held(), time.Now),
 	}
 	r.conf.Store(&c)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
