budget: reserve what a request takes beside its body while that arrives

A body was reserved with its bytes alone. So the number of requests that stop after a few bytes was bounded by descriptors only, while each takes some an estimated 32 KiB with its header, buffers and stack (not measured): 4,100, which a machine of 184 MB allows, would take 134 MB.

An unfinished body now reserves 32 KiB more, at most 1/256 of the bound, until it is complete. Of 2,000 bodies of 10 bytes that stop, 2,000 stayed before and at most 512 stay now with a bound of 16 MiB (TestTinyBodiesTakeAll).

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -15,6 +15,10 @@
 	stalledTicks = 15
 	// stallGrace is the pause after which a body counts as stalled when one must be given up. Links that many share pause for less.
 	stallGrace = 500 * time.Millisecond
+	// requestBytes is what a request takes beside its body while that arrives: header, buffers and stack. At most a part of
+	// 1/requestsDivisor of the bound is reserved for it, so that a low bound has room for that many requests with small bodies.
+	requestBytes    = 32 << 10
+	requestsDivisor = 256
 )
 
 // Errors of holds that are given up. What they held has not been used.
@@ -59,8 +63,10 @@
 		lastProgress atomic.Int64
 
 		// The other fields are guarded by the budget's mutex.
-		bytes        int64
-		unfinished   bool
+		bytes      int64
+		unfinished bool
+		// requestBytes are those of bytes that are reserved beside an unfinished body.
+		requestBytes int64
 		giveUp       func()
 		cause        error
 		idleTicks    int
@@ -144,7 +150,7 @@
 	delete(b.unfinished, h)
 }
 
-// Grow reserves n more bytes. Where the bound is reached, the bodies with the least progress are given up first. The error is the reason
+// Grow reserves n more bytes, at first also those of the request beside an unfinished body. Where the bound is reached, the bodies with the least progress are given up first. The error is the reason
 // why this hold itself is given up or may not grow.
 func (h *Hold) Grow(n int64) error {
 	b := h.budget
@@ -153,6 +159,11 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var beside int64
+	if h.unfinished && h.requestBytes == 0 {
+		beside = min(requestBytes, b.limit/requestsDivisor)
+		n += beside
+	}
 	// A single request within the limits on its size is served, whatever the bound is.
 	for h.cause == nil && b.counts.Held+n > b.limit && b.counts.Held > h.bytes {
 		victim := b.victim(h)
@@ -167,6 +178,7 @@
 	if h.cause != nil {
 		return fault.Wrap("hold", h.client.Address, h.cause)
 	}
+	h.requestBytes += beside
 	h.bytes += n
 	b.counts.Held += n
 	if !h.unfinished {
@@ -250,6 +262,8 @@
 	defer b.mu.Unlock()
 	if h.cause == nil && h.unfinished {
 		h.unfinished = false
+		h.bytes -= h.requestBytes
+		b.counts.Held -= h.requestBytes
 		b.counts.Pinned += h.bytes
 		delete(b.unfinished, h)
 	}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math"
+	"strconv"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -85,7 +86,30 @@
 		}
 		So(evicted, ShouldResemble, map[string]bool{"stalled": true})
 		So(stalled.Cause(), ShouldEqual, ErrStalled)
+		So(b.Counts().Held, ShouldEqual, 10+1000/requestsDivisor)
+	})
+}
+
+// TestTinyBodiesTakeAll guards against unfinished bodies of a few bytes whose requests take memory without bound, and against ordinary
+// requests for which that memory stays reserved.
+func TestTinyBodiesTakeAll(t *testing.T) {
+	Convey("of many tiny bodies that stop, as many stay as there is room for their requests", t, func() {
+		const limit = 16 << 20
+		clock := &fakeClock{at: time.Unix(1000, 0)}
+		b, evicted := New(limit, clock.now), map[string]bool{}
+		for n := range 2000 {
+			receive(b, Client{}, 10, evicted, strconv.Itoa(n))
+			clock.at = clock.at.Add(10 * time.Millisecond)
+		}
+		So(2000-len(evicted), ShouldBeBetweenOrEqual, 500, limit/requestBytes)
+		So(b.Counts().Held, ShouldBeLessThanOrEqualTo, limit)
+		b = New(limit, clock.now)
+		ordinary := receive(b, Client{}, 10, evicted, "ordinary")
+		So(ordinary.Finish(), ShouldBeNil)
 		So(b.Counts().Held, ShouldEqual, 10)
+		So(b.Counts().Pinned, ShouldEqual, 10)
+		ordinary.Release()
+		So(b.Counts().Held, ShouldEqual, 0)
 	})
 }
 
