proxy: bodies of known length are read without a reader of the limit

The length is checked before, and the server ends such a body at its length. The reader that enforces the limit stays for bodies of unknown length.

--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -148,8 +149,12 @@
 	req.hold = hold
 	buf := budget.NewBuffer(hold, req.httpReq.ContentLength)
 	defer buf.Drop()
-	// The reader returns an error beyond the limit.
-	if _, err = buf.Fill(http.MaxBytesReader(req.writer, req.httpReq.Body, int64(limit)), math.MaxInt64); err == nil {
+	var body io.Reader = req.httpReq.Body
+	if req.httpReq.ContentLength < 0 {
+		// The reader returns an error beyond the limit. The server ends bodies of known length, which have been checked above.
+		body = http.MaxBytesReader(req.writer, req.httpReq.Body, int64(limit))
+	}
+	if _, err = buf.Fill(body, math.MaxInt64); err == nil {
 		err = hold.Finish()
 	}
 	if err != nil {
