router: an operator's body that timed out gets 408, not 400

With a bound, bodies are read by readOperatorBody, which answered a time-out of the server with 400, as if the request were faulty and of no use again. The HTTP library answers 408 without a bound. It is 408 with Retry-After now.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -67,12 +67,13 @@
 // refuseOperator answers a request whose body was not read, and closes its connection.
 func refuseOperator(c *fiber.Ctx, err error) error {
 	status := fiber.StatusBadRequest
+	var timeout net.Error
 	switch {
 	case errors.Is(err, fiber.ErrRequestEntityTooLarge):
 		status = fiber.StatusRequestEntityTooLarge
 	case errors.Is(err, budget.ErrFull):
 		status = fiber.StatusServiceUnavailable
-	case errors.Is(err, budget.ErrStalled):
+	case errors.Is(err, budget.ErrStalled), errors.As(err, &timeout) && timeout.Timeout():
 		status = fiber.StatusRequestTimeout
 	}
 	if status == fiber.StatusServiceUnavailable || status == fiber.StatusRequestTimeout {
