entry: a reset asked for after Keep is not undone by a later write

The first write after Keep restored the orderly close, also if SetLinger(0) had been called in between; the end of a response that was broken off could then be taken for its end. No such order of calls is known in the server today, as a hijacked connection is not written to. SetLinger now ends the effect of Keep.

--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -111,6 +111,8 @@
 
 // SetLinger sets the behaviour of Close as net.TCPConn does; with 0 seconds, Close resets the connection.
 func (c *callerConn) SetLinger(seconds int) error {
+	// Keep no longer decides how the connection is closed.
+	c.kept.Store(false)
 	c.abortive.Store(seconds == 0)
 	return c.TCPConn.SetLinger(seconds)
 }
--- a/internal/router/unsent_test.go
+++ b/internal/router/unsent_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -75,4 +76,23 @@
 		So(string(got), ShouldEqual, "y")
 		So(caller.Close(), ShouldBeNil)
 	})
+	Convey("a response that is broken off on such a connection still ends with a reset", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		listener := entry.Listener(l)
+		defer func() { So(listener.Close(), ShouldBeNil) }()
+		caller, err := net.Dial("tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		c, err := listener.Accept()
+		So(err, ShouldBeNil)
+		So(c.(revocable).GiveUp(), ShouldBeNil)
+		So(c.(revocable).Keep(), ShouldBeNil)
+		So(c.(interface{ SetLinger(int) error }).SetLinger(0), ShouldBeNil)
+		_, err = fmt.Fprint(c, "part")
+		So(err, ShouldBeNil)
+		So(c.Close(), ShouldBeNil)
+		_, err = io.ReadAll(caller)
+		So(err, ShouldNotBeNil)
+		So(caller.Close(), ShouldBeNil)
+	})
 }
