--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -188,8 +188,8 @@
 	}
 	defer hold.Release()
 	body, err := readOrderBody(hold, r)
-	if cause := hold.Cause(); cause != nil || errors.Is(err, budget.ErrFull) {
-		p.answerOrder(w, &order, detour.Receipt{Result: detour.Declined, Reason: errors.Join(cause, err).Error()})
+	if errors.Is(err, budget.ErrFull) || errors.Is(err, budget.ErrStalled) {
+		p.answerOrder(w, &order, detour.Receipt{Result: detour.Declined, Reason: err.Error()})
 		return
 	}
 	if err != nil {
@@ -213,11 +213,14 @@
 	p.passAnswer(w, &order, call)
 }
 
-// readOrderBody reads the body that follows an order.
+// readOrderBody reads the body that follows an order. The error is ErrFull or ErrStalled of the budget if the body was given up.
 func readOrderBody(hold *budget.Hold, r *http.Request) ([]byte, error) {
 	buf := budget.NewBuffer(hold, unknownLength)
 	defer buf.Drop()
 	if _, err := buf.Fill(r.Body, math.MaxInt64); err != nil {
+		if cause := hold.Cause(); cause != nil {
+			return nil, cause
+		}
 		return nil, err
 	}
 	if err := hold.Finish(); err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,7 +53,7 @@
 	maxOperatorConns = 3000
 	// maxOperatorBodyBytes bounds the body of an operator's request, in bytes.
 	maxOperatorBodyBytes = 32 << 20
-	// connectionBytes is what a connection without a complete header takes at most for the most part: header, buffers and stack.
+	// connectionBytes is an estimate of what a connection without a complete header takes: header, buffers and stack.
 	connectionBytes = 32 << 10
 	// minNewConns is the least bound of connections without a complete header. Ordinary callers that all connect at once stay below it.
 	minNewConns = 256
