--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,7 +53,7 @@
 	maxOperatorConns = 3000
 	// maxOperatorBodyBytes bounds the body of an operator's request, in bytes.
 	maxOperatorBodyBytes = 32 << 20
-	// connectionBytes is what a connection without a complete header takes at most for the most part: header, buffers and stack.
+	// connectionBytes is an estimate of what a connection without a complete header takes: header, buffers and stack.
 	connectionBytes = 32 << 10
 	// minNewConns is the least bound of connections without a complete header. Ordinary callers that all connect at once stay below it.
 	minNewConns = 256
@@ -133,7 +133,9 @@
 func New(c conf.Settings, file string, wire Wire, log *zap.Logger) (*Router, error) {
 	r := &Router{
 		settingsFile: file, startedAt: clock.Now(), log: log, links: peer.NewLinks(c.Keys.Secret, c.Listen.Peers.Addr()),
-		meter: meter.New(), budget: budget.New(c.Limits.Held(), clock.Now),
+		meter: meter.New(),
+		// The clock of time.Now stands still while the machine is suspended, so that no client is blamed for that. It takes no system call.
+		budget: budget.New(c.Limits.Held(), time.Now),
 	}
 	r.conf.Store(&c)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
