router: a window of usage that the log refuses is not taken as fixed

Cause: each result of the command counted as success, so that a refused window would be missing without a word in the log. Change: the code invalid is an error. Measured: go vet; no present cause is known.

--- a/internal/router/usage.go
+++ b/internal/router/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"slices"
 	"time"
@@ -105,10 +106,15 @@
 // FixUsage commits the usage of a window. It returns nil if the log holds the window, also with counts committed earlier.
 func (l usageLog) FixUsage(ctx context.Context, fix ctrl.FixUsage) error {
 	response, err := l.router.quorumServer.Propose(ctx, quorum.Proposal{Command: ctrl.Command{FixUsage: &fix}})
-	if err == nil && !response.IsLeader {
-		err = errNoLeader
+	switch {
+	case err != nil:
+		return err
+	case !response.IsLeader:
+		return errNoLeader
+	case response.Result.Code == ctrl.Invalid:
+		return fmt.Errorf("fix usage of window %d: %s", fix.Window, response.Result.Reason)
 	}
-	return err
+	return nil
 }
 
 // Others returns the other replicas, those in other availability zones first, as machines of one zone fail together.
