scale: plain names for the last order and for endpoints in service

Cause: Standing and there would stop a reader of the package. Change: names and comments; the line of a changed order says serving where it said there. No other behaviour changes. Measured: the tests of the package pass.

--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -51,7 +51,7 @@
 		Spot bool
 	}
 
-	// Endpoint is an endpoint that is there. Reclaimed is set if it leaves because it is reclaimed.
+	// Endpoint is an endpoint in service or about to leave. Reclaimed is set if it leaves because it is reclaimed.
 	Endpoint struct {
 		Zone      string
 		Spot      bool
@@ -59,9 +59,9 @@
 		Reclaimed bool
 	}
 
-	// Standing is the last order of a kind. Since is when it was committed, or when this instance became the holder; RefusedAt is when the
+	// LastOrder is the last order of a kind. Since is when it was committed, or when this instance became the holder; RefusedAt is when the
 	// platform refused it, or zero. Accepted is the number that the platform accepted last, or 0 if that is not known.
-	Standing struct {
+	LastOrder struct {
 		Count     int
 		Accepted  int
 		Since     time.Time
@@ -74,7 +74,7 @@
 		Scaling   table.Scaling
 		Demand    place.Demand
 		Endpoints []Endpoint
-		Orders    map[Kind]Standing
+		Orders    map[Kind]LastOrder
 		// ReclaimedAt is when an endpoint was last told that it is reclaimed, by zone.
 		ReclaimedAt map[string]time.Time
 		// Target is the number of endpoints last decided on, or 0 if this instance has decided on none. LoweredAt is when it was lowered.
@@ -100,8 +100,8 @@
 		price float64
 		// standard and spot are the numbers to order.
 		standard, spot int
-		// standardThere and spotThere are the endpoints that serve.
-		standardThere, spotThere int
+		// standardServing and spotServing are the endpoints that serve.
+		standardServing, spotServing int
 		// noStandard and noSpot are set while no more are to be had.
 		noStandard, noSpot bool
 	}
@@ -152,19 +152,19 @@
 		switch {
 		case z == nil || e.Leaving:
 		case e.Spot:
-			z.spotThere++
+			z.spotServing++
 		default:
-			z.standardThere++
+			z.standardServing++
 		}
 	}
 	for _, z := range p.zones {
 		reclaimedAt, reclaimed := s.ReclaimedAt[z.name]
 		if reclaimed = reclaimed && now.Sub(reclaimedAt) < spotPause; reclaimed {
 			// All spot endpoints of a zone are reclaimed at once, though their notices arrive one after the other.
-			z.spotThere = 0
+			z.spotServing = 0
 		}
-		z.standard, z.noStandard = p.standing(Kind{z.name, false}, z.standardThere, false)
-		z.spot, z.noSpot = p.standing(Kind{z.name, true}, z.spotThere, reclaimed)
+		z.standard, z.noStandard = p.lastOrder(Kind{z.name, false}, z.standardServing, false)
+		z.spot, z.noSpot = p.lastOrder(Kind{z.name, true}, z.spotServing, reclaimed)
 	}
 	return p
 }
@@ -178,23 +178,23 @@
 	return nil
 }
 
-// standing returns the number of a kind to start from and whether no more of it are to be had now. While that is so, the number is that of
+// lastOrder returns the number of a kind to start from and whether no more of it are to be had now. While that is so, the number is that of
 // the endpoints that stay, or that were accepted before the refusal: some of those may still be starting, and a lower order would cancel
 // them.
-func (p *planner) standing(kind Kind, there int, reclaimed bool) (count int, none bool) {
+func (p *planner) lastOrder(kind Kind, serving int, reclaimed bool) (count int, none bool) {
 	last, ordered := p.service.Orders[kind]
 	switch {
 	case reclaimed:
 		return 0, true
 	case ordered && !last.RefusedAt.IsZero() && p.now.Sub(last.RefusedAt) < refusalPause:
-		count, none = max(there, min(last.Accepted, last.Count)), true
+		count, none = max(serving, min(last.Accepted, last.Count)), true
 	case !ordered:
-		return there, false
+		return serving, false
 	default:
 		count = last.Count
 	}
 	if p.now.Sub(last.Since) < p.service.Scaling.Boot+settleMargin {
-		p.booting += max(0, count-there)
+		p.booting += max(0, count-serving)
 	}
 	return count, none
 }
@@ -208,10 +208,10 @@
 
 func (p *planner) standardOrdered() int { return p.sum(func(z *zone) int { return z.standard }) }
 func (p *planner) spotOrdered() int     { return p.sum(func(z *zone) int { return z.spot }) }
-func (p *planner) there() int {
-	return p.sum(func(z *zone) int { return z.standardThere + z.spotThere })
+func (p *planner) serving() int {
+	return p.sum(func(z *zone) int { return z.standardServing + z.spotServing })
 }
-func (p *planner) spotThere() int { return p.sum(func(z *zone) int { return z.spotThere }) }
+func (p *planner) spotServing() int { return p.sum(func(z *zone) int { return z.spotServing }) }
 
 // atRisk reports whether endpoints were reclaimed or refused a short time ago, so that the next orders may be refused as well.
 func (p *planner) atRisk() bool {
@@ -250,10 +250,10 @@
 	p.need = needed(d, scaling)
 	wanted, standard := size(d, scaling, p.need)
 	if d.LateShare > lateRaise && d.Known >= minKnown && p.booting == 0 {
-		wanted = min(max(wanted, p.there()+int(lateStep*float64(p.there()))), 2*wanted, len(p.zones)*scaling.Max)
+		wanted = min(max(wanted, p.serving()+int(lateStep*float64(p.serving()))), 2*wanted, len(p.zones)*scaling.Max)
 	}
 	switch {
-	case float64(wanted) > float64(current)*(1+raiseBand) && (d.Known >= minKnown || d.Busy > targetLoad*float64(p.there())):
+	case float64(wanted) > float64(current)*(1+raiseBand) && (d.Known >= minKnown || d.Busy > targetLoad*float64(p.serving())):
 		p.reason = "demand needs more"
 		return wanted, standard, false
 	case float64(wanted) < float64(current)*(1-lowerBand) && p.mayLower():
@@ -273,7 +273,7 @@
 
 // coverShortage orders standard endpoints if fewer serve, or will soon, than are needed at any time.
 func (p *planner) coverShortage(standard int) {
-	missing := min(int(math.Ceil(p.need))-p.there()-p.booting, len(p.zones)*p.service.Scaling.Max)
+	missing := min(int(math.Ceil(p.need))-p.serving()-p.booting, len(p.zones)*p.service.Scaling.Max)
 	// Orders that are still to be made for the target are of spot endpoints, which serve as soon as standard ones if they are to be had.
 	orderable := spotUsed(&p.service.Scaling) && !p.atRisk() && float64(p.standardOrdered()+p.spotOrdered()) < p.need
 	if missing <= 0 || orderable {
@@ -298,13 +298,13 @@
 }
 
 // setStandard sets the numbers of standard endpoints. They are lowered as far as spot ones serve, once all of those that were ordered do or
-// no more are expected, and raised to what must be there.
+// no more are expected, and raised to the least number.
 func (p *planner) setStandard(target, standard int) {
 	ordered := p.standardOrdered()
 	if float64(standard-ordered) > raiseBand*float64(target) {
 		p.add(standard-ordered, false, standard)
 	}
-	keep := max(standard, target-p.spotThere())
+	keep := max(standard, target-p.spotServing())
 	if !p.settled() || float64(ordered-keep) < lowerBand*float64(ordered) {
 		return
 	}
@@ -316,12 +316,12 @@
 func (p *planner) settled() bool {
 	for _, z := range p.zones {
 		for _, kind := range []Kind{{z.name, false}, {z.name, true}} {
-			last, there := p.service.Orders[kind], z.standardThere
+			last, serving := p.service.Orders[kind], z.standardServing
 			if kind.Spot {
-				there = z.spotThere
+				serving = z.spotServing
 			}
 			count := z.count(kind.Spot)
-			if count > max(last.Count, there) || count > there && p.now.Sub(last.Since) < p.service.Scaling.Boot+settleMargin {
+			if count > max(last.Count, serving) || count > serving && p.now.Sub(last.Since) < p.service.Scaling.Boot+settleMargin {
 				return false
 			}
 		}
@@ -381,7 +381,7 @@
 	least := p.service.Scaling.Min
 	for ; count > 0; count-- {
 		best := p.best(spot, standard, 1, func(z *zone) bool {
-			return z.count(spot) > 0 && z.standard+z.spot > least && (spot || z.standard+z.spotThere > least)
+			return z.count(spot) > 0 && z.standard+z.spot > least && (spot || z.standard+z.spotServing > least)
 		})
 		if best == nil {
 			return
@@ -415,18 +415,18 @@
 	}
 }
 
-// orders returns what differs from the last orders, or from the endpoints there where none was ordered.
+// orders returns what differs from the last orders, or from the endpoints in service where none was ordered.
 func (p *planner) orders(target, standard int) (orders []Order) {
 	d := &p.service.Demand
-	const format = "%s: target %d with %d standard, needed %.1f, there %d, busy %.1f, peak %.1f, usual %.1f, running %d, late %.2f"
-	reason := fmt.Sprintf(format, p.reason, target, standard, p.need, p.there(), d.Busy, d.Peak, d.Usual, d.Running, d.LateShare)
+	const format = "%s: target %d with %d standard, needed %.1f, serving %d, busy %.1f, peak %.1f, usual %.1f, running %d, late %.2f"
+	reason := fmt.Sprintf(format, p.reason, target, standard, p.need, p.serving(), d.Busy, d.Peak, d.Usual, d.Running, d.LateShare)
 	for _, z := range p.zones {
 		for _, kind := range []Kind{{z.name, true}, {z.name, false}} {
 			last, ordered := p.service.Orders[kind]
 			if !ordered {
-				last.Count = z.standardThere
+				last.Count = z.standardServing
 				if kind.Spot {
-					last.Count = z.spotThere
+					last.Count = z.spotServing
 				}
 			}
 			if count := z.count(kind.Spot); count != last.Count {
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -37,7 +37,7 @@
 	}
 	f.service = Service{
 		Name: "m", Scaling: table.Scaling{Min: 1, Max: limit, Boot: 4 * time.Second, SpotPrice: 0.18, ZonePrices: prices},
-		Orders: map[Kind]Standing{}, ReclaimedAt: map[string]time.Time{},
+		Orders: map[Kind]LastOrder{}, ReclaimedAt: map[string]time.Time{},
 	}
 	return f
 }
@@ -87,7 +87,7 @@
 		decision := Decide(f.now, &f.service)
 		for _, o := range decision.Orders {
 			f.orders = append(f.orders, o)
-			standing := Standing{Count: o.Count, Since: f.now, RefusedAt: f.service.Orders[o.kind()].RefusedAt}
+			standing := LastOrder{Count: o.Count, Since: f.now, RefusedAt: f.service.Orders[o.kind()].RefusedAt}
 			if o.Spot && o.Count > f.serving[o.kind()] && f.now.Before(f.noSpotUntil) {
 				standing.RefusedAt = f.now
 			}
@@ -246,7 +246,7 @@
 		for _, zone := range []string{"a", "b", "c", "d"} {
 			kind := Kind{zone, false}
 			f.serving[kind] += 5
-			f.service.Orders[kind] = Standing{Count: f.serving[kind], Since: f.now.Add(-time.Minute)}
+			f.service.Orders[kind] = LastOrder{Count: f.serving[kind], Since: f.now.Add(-time.Minute)}
 		}
 		total := f.total()
 		f.service.Target, f.service.LoweredAt = 0, time.Time{}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -24,7 +24,7 @@
 	steadyFor = time.Second
 	// retryAfter is the time to the next try after a call that was not carried out, or may not have been. Each try is a commit and a call.
 	retryAfter = 400 * time.Millisecond
-	// resendMargin is the time, on top of the boot time, for which the endpoints there may differ from an order before it is sent again.
+	// resendMargin is the time, on top of the boot time, for which the endpoints in service may differ from an order before it is sent again.
 	// It doubles with each time, as a platform that has no more endpoints is not helped by calls.
 	resendMargin = 6 * time.Second
 	// maxResends bounds the doublings of the time.
@@ -53,7 +53,7 @@
 		Orders() []Order
 	}
 
-	// Fleet tells what is there.
+	// Fleet tells which endpoints are in service and what their load is.
 	Fleet interface {
 		// Services returns the services with scaling, with their demand and endpoints.
 		Services(now time.Time) []State
@@ -80,14 +80,14 @@
 
 	// orderState is the last order of a kind and what became of it.
 	orderState struct {
-		Standing
+		LastOrder
 		// accepted is the number that the platform has accepted last, or unknownCount.
 		accepted int
 		// refused is set if the platform refused this number, which is not sent again for a time.
 		refused bool
-		// inherited is set for an order of an earlier holder until it is first compared with the endpoints there.
+		// inherited is set for an order of an earlier holder until it is first compared with the endpoints in service.
 		inherited bool
-		// differsSince is since when the endpoints there differ from the number, or zero; resends counts the repeats for it.
+		// differsSince is since when the endpoints in service differ from the number, or zero; resends counts the repeats for it.
 		differsSince time.Time
 		resends      int
 	}
@@ -164,7 +164,7 @@
 	r.held, r.services, r.subjects = held, map[string]*serviceState{}, map[string]*subjectState{}
 	if held {
 		for _, o := range r.opt.Log.Orders() {
-			r.service(o.Service).orders[o.kind()] = &orderState{Standing: Standing{Count: o.Count, Since: now}, accepted: o.Count, inherited: true}
+			r.service(o.Service).orders[o.kind()] = &orderState{LastOrder: LastOrder{Count: o.Count, Since: now}, accepted: o.Count, inherited: true}
 		}
 	}
 	return held
@@ -228,7 +228,7 @@
 	if len(state.Endpoints) != s.endpoints || s.steadySince.IsZero() {
 		s.endpoints, s.steadySince = len(state.Endpoints), now
 	}
-	there, reclaimed := map[Kind]int{}, map[string]int{}
+	serving, reclaimed := map[Kind]int{}, map[string]int{}
 	for _, e := range state.Endpoints {
 		if e.Reclaimed {
 			// Reclaimed endpoints that left without reporting it stay registered for some time; they are no new reclaim.
@@ -237,34 +237,34 @@
 			}
 		}
 		if !e.Leaving {
-			there[Kind{e.Zone, e.Spot}]++
+			serving[Kind{e.Zone, e.Spot}]++
 		}
 	}
 	s.reclaimed = reclaimed
 	in = Service{
-		Name: state.Name, Scaling: *state.Scaling, Demand: state.Demand, Endpoints: state.Endpoints, Orders: map[Kind]Standing{},
+		Name: state.Name, Scaling: *state.Scaling, Demand: state.Demand, Endpoints: state.Endpoints, Orders: map[Kind]LastOrder{},
 		ReclaimedAt: s.reclaimedAt, Target: s.target, LoweredAt: s.loweredAt,
 	}
 	for kind, o := range s.orders {
-		o.compare(now, there[kind], state.Scaling.Boot)
-		last := o.Standing
+		o.compare(now, serving[kind], state.Scaling.Boot)
+		last := o.LastOrder
 		last.Accepted = max(0, o.accepted)
 		in.Orders[kind] = last
 	}
 	return in, len(s.orders) > 0 || now.Sub(s.steadySince) >= steadyFor
 }
 
-// compare has an order sent again if the endpoints there have differed from it for long. That of an earlier holder may not have been sent;
+// compare has an order sent again if the endpoints in service have differed from it for long. That of an earlier holder may not have been sent;
 // if it was, a lease ago at least, its endpoints have had about the boot time.
-func (o *orderState) compare(now time.Time, there int, boot time.Duration) {
+func (o *orderState) compare(now time.Time, serving int, boot time.Duration) {
 	if o.inherited {
 		o.inherited, o.Since = false, now.Add(-boot)
-		if there != o.Count {
+		if serving != o.Count {
 			o.differsSince = o.Since
 		}
 	}
-	if there == o.Count || o.refused || o.accepted != o.Count {
-		if o.differsSince = (time.Time{}); there == o.Count {
+	if serving == o.Count || o.refused || o.accepted != o.Count {
+		if o.differsSince = (time.Time{}); serving == o.Count {
 			o.resends = 0
 		}
 		return
