--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -150,8 +150,8 @@
 	delete(b.unfinished, h)
 }
 
-// Grow reserves n more bytes, at first also those of the request beside an unfinished body. Where the bound is reached, the bodies with the least progress are given up first. The error is the reason
-// why this hold itself is given up or may not grow.
+// Grow reserves n more bytes, at first also those of the request beside an unfinished body. Where the bound is reached, the bodies with
+// the least progress are given up first. The error is the reason why this hold itself is given up or may not grow.
 func (h *Hold) Grow(n int64) error {
 	b := h.budget
 	if b.limit <= 0 {
--- a/internal/place/attempt.go
+++ b/internal/place/attempt.go
@@ -90,8 +90,8 @@
 	return a.req.AttemptID < other.req.AttemptID
 }
 
-// Apply applies an event: the limit, the brittleness or the speed of an endpoint, or of an attempt its start at an endpoint chosen elsewhere, its first answer or
-// its end.
+// Apply applies an event: the limit, the brittleness or the speed of an endpoint, or of an attempt its start at an endpoint chosen
+// elsewhere, its first answer or its end.
 func (b *Balancer) Apply(now time.Time, e Event) {
 	if e.Limit != nil {
 		b.RecordLimit(now, *e.Limit)
--- a/internal/place/speed.go
+++ b/internal/place/speed.go
@@ -68,8 +68,8 @@
 
 	// speed estimates the time that an engine takes for its work, relative to its service, from the times to first answer of prompts that
 	// it began at once, and for those that waited from the time since the answer before. It is separate from load, which delays requests
-	// that wait, and from slowness, which tells of seconds. Samples are logarithms of the ratio of measured to expected time; of two in a row the lower one counts, as a silence or a
-	// span of noise seldom covers both.
+	// that wait, and from slowness, which tells of seconds. Samples are logarithms of the ratio of measured to expected time; of two in a
+	// row the lower one counts, as a silence or a span of noise seldom covers both.
 	speed struct {
 		service      *serviceSpeed
 		mean, weight float64
