--- a/internal/place/speed_test.go
+++ b/internal/place/speed_test.go
@@ -172,7 +172,7 @@
 	})
 }
 
-// TestEngineTakenForSlowStaysAvoided guards against an engine that was slow for a while, or was wrongly reported so, and gets too few
+// TestEngineTakenForSlowStaysAvoided guards against an engine that was slow temporarily, or was wrongly reported so, and gets too few
 // requests to show that it is not.
 func TestEngineTakenForSlowStaysAvoided(t *testing.T) {
 	Convey("an engine that was slow for 60 s gets its share again", t, func() {
