--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -57,6 +57,9 @@
 		return nil, err
 	}
 	f := &fleet{dir: dir, graceS: 8}
+	runningMu.Lock()
+	running = f
+	runningMu.Unlock()
 	zones := []string{"zone-a", "zone-b", "zone-c"}
 	for i := range core + edges {
 		m := &machine{zone: zones[i%len(zones)], ip: fmt.Sprintf("127.%d.0.%d", 20+os.Getpid()%200, i+1), bootstrap: true, memoryMB: 280}
--- a/review/_stand2/memory.go
+++ b/review/_stand2/memory.go
@@ -36,11 +36,11 @@
 func runMemory(rec *recorder, trouble bool) (int, error) {
 	f, err := newFleet(3, 2, edgeMemoryMB)
 	if err != nil {
-		return 2, err
+		return notRun, err
 	}
 	defer f.close()
 	if err := f.startAll(); err != nil {
-		return 2, err
+		return notRun, err
 	}
 	var inTrouble atomic.Bool
 	endless := func(w http.ResponseWriter, r *http.Request) bool {
@@ -77,7 +77,7 @@
 			sound = append(sound, s)
 		}
 		if err := s.start(f.edges[0].ip + ":0"); err != nil {
-			return 2, err
+			return notRun, err
 		}
 		defer s.end()
 	}
@@ -86,11 +86,11 @@
 		route("r-b", "/b/", "non_idempotent", "kancelar", 3000, 300, nil),
 	}, []map[string]any{engineService("asistent"), plainService("kancelar")}))
 	if err != nil {
-		return 2, err
+		return notRun, err
 	}
 	for _, path := range []string{"/a/x", "/b/x"} {
 		if err := f.awaitServing(http.MethodPost, path); err != nil {
-			return 2, err
+			return notRun, err
 		}
 	}
 
@@ -190,9 +190,9 @@
 		peaks, edgeMemoryMB, ended.Load(), served.Load(), most, lostAllowed)
 	switch {
 	case ended.Load() > 0 && most > lostAllowed:
-		return 1, nil
+		return broken, nil
 	case served.Load() < 50:
-		return 2, nil
+		return notRun, nil
 	}
-	return 0, nil
+	return held, nil
 }
--- a/review/_stand2/versions.go
+++ b/review/_stand2/versions.go
@@ -22,6 +22,8 @@
 	quietGap = time.Second
 	busyGap  = 110 * time.Millisecond
 	quietFor = 12 * time.Second
+	// No stream runs when the server goes down first.
+	pauseFor = 2500 * time.Millisecond
 	// mixedAllowed is the number of streams that the rule ORDER lets hold events of two versions.
 	mixedAllowed = 2
 )
@@ -29,18 +31,19 @@
 // runVersions restarts a server of a plain service under its ID and address, with the next version of its software, while its heartbeats
 // arrive late; it then goes down once more. Streams that may be resumed run all the while.
 func runVersions(rec *recorder, trouble bool) (int, error) {
+	const name, slots = "kancelar", 6
 	f, err := newFleet(3, 2, 134)
 	if err != nil {
-		return 2, err
+		return notRun, err
 	}
 	defer f.close()
 	if err := f.startAll(); err != nil {
-		return 2, err
+		return notRun, err
 	}
 	var servers []*server
 	newServer := func(i int, version string) *server {
 		s := &server{
-			id: fmt.Sprintf("i-plain-%d", i), service: "kancelar", zone: "zone-a", version: version, slots: 6, engine: true,
+			id: fmt.Sprintf("i-server-%d", i), service: name, zone: "zone-a", version: version, slots: slots, engine: true,
 			events: versionEvents, pause: versionPause, registries: f.registries(), rec: rec,
 		}
 		return s
@@ -48,7 +51,7 @@
 	for i := range versionServers {
 		s := newServer(i, "v1")
 		if err := s.start(f.edges[0].ip + ":0"); err != nil {
-			return 2, err
+			return notRun, err
 		}
 		servers = append(servers, s)
 	}
@@ -58,20 +61,21 @@
 		}
 	}()
 	cfg := configuration(1, []map[string]any{
-		route("r-s", "/s/", "streaming", "kancelar", 8000, 2000, map[string]any{
+		route("r-s", "/s/", "streaming", name, 8000, 2000, map[string]any{
 			"gapTargetMs": 800, "maxAttempts": 3, "streamResumption": true, "sessionAffinity": false,
 		}),
-	}, []map[string]any{plainService("kancelar")})
+	}, []map[string]any{plainService(name)})
 	if err := f.configure(cfg); err != nil {
-		return 2, err
+		return notRun, err
 	}
 	if err := f.awaitServing(http.MethodPost, "/s/a"); err != nil {
-		return 2, err
+		return notRun, err
 	}
 
 	var wg sync.WaitGroup
 	var complete, mixed, failed atomic.Int64
 	var gap atomic.Int64
+	var paused atomic.Bool
 	gap.Store(int64(quietGap))
 	stop := make(chan struct{})
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
@@ -83,6 +87,9 @@
 				return
 			case <-time.After(time.Duration(gap.Load())):
 			}
+			if paused.Load() {
+				continue
+			}
 			wg.Go(func() {
 				r := f.newRequest(f.edges[n%len(f.edges)], http.MethodPost, "/s/a", 8000, []byte("prompt"))
 				id := r.Header.Get("Attempt-Id")
@@ -102,6 +109,8 @@
 		}
 	})
 	time.Sleep(quietFor)
+	paused.Store(true)
+	time.Sleep(pauseFor)
 	if trouble {
 		old := servers[0]
 		rec.say("server %s goes down and starts again under its ID and address, with version v2; its heartbeats are %s late", old.id, lateBeat)
@@ -110,20 +119,22 @@
 		s := newServer(0, "v2")
 		s.delay = lateBeat
 		if err := s.startAt(old.addr); err != nil {
-			return 2, err
+			return notRun, err
 		}
 		gap.Store(int64(busyGap))
+		paused.Store(false)
 		time.Sleep(downAfter)
 		rec.say("server %s goes down again", s.id)
 		s.end()
 		time.Sleep(downFor)
 		s = newServer(0, "v2")
 		if err := s.startAt(old.addr); err != nil {
-			return 2, err
+			return notRun, err
 		}
 		servers[0] = s
 	}
 	gap.Store(int64(busyGap))
+	paused.Store(false)
 	time.Sleep(5 * time.Second)
 	close(stop)
 	wg.Wait()
@@ -131,11 +142,11 @@
 		failed.Load(), mixed.Load(), mixedAllowed)
 	switch {
 	case mixed.Load() > mixedAllowed:
-		return 1, nil
+		return broken, nil
 	case complete.Load() < 20:
-		return 2, nil
+		return notRun, nil
 	}
-	return 0, nil
+	return held, nil
 }
 
 // startAt starts the server at an address that it had before.
