--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -19,7 +19,7 @@
 
 var (
 	cases = map[string]func(rec *recorder, trouble bool) (int, error){
-		"memory": runMemory, "versions": runVersions,
+		"memory": runMemory, "versions": runVersions, "routes": runRoutes,
 	}
 	// running is the fleet that was started, or nil.
 	running   *fleet
