--- a/review/_stand2/versions.go
+++ b/review/_stand2/versions.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	versionServers = 3
+	versionServers = 7
 	versionEvents  = 40
 	versionPause   = 50 * time.Millisecond
 	// lateBeat is how late the heartbeats of the restarted server arrive, downAfter how long it runs before it goes down again.
@@ -20,7 +20,7 @@
 	downFor   = 300 * time.Millisecond
 	// Streams begin every quietGap at first, and every busyGap after quietFor.
 	quietGap = time.Second
-	busyGap  = 110 * time.Millisecond
+	busyGap  = 50 * time.Millisecond
 	quietFor = 12 * time.Second
 	// No stream runs when the server goes down first.
 	pauseFor = 2500 * time.Millisecond
