answer, egress, conns: an answer that is reset during the upload is not complete

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, also where the answer was a failure or an event stream, and from plain services behind contracts.

Cause: a socket reports the loss of its connection once. If the write of the request gets that error, a read after it ends as after an orderly close, and such an end completes a body that has neither a length nor chunks. Nobody compared the result of the write with the end of the read: neither internal/egress nor net/http.

Evidence: TestResetDuringUploadLooksComplete in internal/proxy and internal/relay. A repeatable request was answered with the part, and a stream that may be resumed ended after it. TestEarlyAnswerFails, for sound answers that come during the upload, passed before and passes now.

Why this works: answer.Conn sees both directions. At the end of the stream it ends a write in progress and looks at its error. A write after the endpoint's close fails with EPIPE; one that took the error of a lost connection fails with another one, as ECONNRESET or ETIMEDOUT, and then the read fails too. No wait is added: the write deadline ends the write at once, and such a connection is not used again in any case.

--- a/internal/answer/doc.go
+++ b/internal/answer/doc.go
@@ -1,2 +1,2 @@
-// Package answer tells from an endpoint's answer whether it is complete.
+// Package answer decides whether an endpoint's answer is sound and complete.
 package answer
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 )
 
 const (
@@ -30,12 +32,19 @@
 	Pool struct {
 		mu        sync.Mutex
 		transport *http.Transport
+		// sender sends requests with the settings of transport.
+		sender    roundTripper
 		createdAt time.Time
 		localAddr netip.Addr
 		counter   *ByteCounter
 		http2     bool
 	}
 
+	roundTripper interface {
+		http.RoundTripper
+		CloseIdleConnections()
+	}
+
 	// Pools holds one Pool per peer.
 	Pools struct {
 		mu    sync.RWMutex
@@ -83,6 +92,9 @@
 	if p.counter != nil {
 		p.transport.DialContext = p.counter.countDial(p.transport.DialContext)
 	}
+	if p.sender = p.transport; !p.http2 {
+		p.sender = answer.NewTransport(p.transport)
+	}
 }
 
 // NewTransport returns a transport with dial and idle timeouts. It dials from localAddr if that is valid.
@@ -110,31 +122,31 @@
 
 // NewUnpooledTransport returns a transport that uses a new connection for each request, so that net/http never sends one
 // twice.
-func NewUnpooledTransport() *http.Transport {
+func NewUnpooledTransport() http.RoundTripper {
 	transport := NewTransport(netip.Addr{})
 	transport.DisableKeepAlives = true
-	return transport
+	return answer.NewTransport(transport)
 }
 
 // Do sends a request on a pooled connection.
 func (p *Pool) Do(req *http.Request) (*http.Response, error) {
-	return p.currentTransport(time.Now()).RoundTrip(req)
+	return p.currentSender(time.Now()).RoundTrip(req)
 }
 
-func (p *Pool) currentTransport(now time.Time) *http.Transport {
+func (p *Pool) currentSender(now time.Time) http.RoundTripper {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if now.Sub(p.createdAt) > maxTransportAge {
-		p.transport.CloseIdleConnections()
+		p.sender.CloseIdleConnections()
 		p.resetTransport(now)
 	}
-	return p.transport
+	return p.sender
 }
 
 // Renew drops the pooled connections, all of which may be dead. The next request opens a new one.
 func (p *Pool) Renew() {
 	p.mu.Lock()
-	old := p.transport
+	old := p.sender
 	p.resetTransport(time.Now())
 	p.mu.Unlock()
 	old.CloseIdleConnections()
--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -83,19 +83,19 @@
 	}
 	head := req.head()
 	if len(req.Body) <= maxInlineBodyBytes {
-		n, err := conn.Write(append(head, req.Body...))
+		n, err := conn.wire.Write(append(head, req.Body...))
 		call.anyWritten = n > 0
 		call.writeDone <- err
 		return call, call.sendError(err)
 	}
-	n, err := conn.Write(head)
+	n, err := conn.wire.Write(head)
 	call.anyWritten = n > 0
 	if err != nil {
 		call.writeDone <- err
 		return call, call.sendError(err)
 	}
 	go func() {
-		_, err := conn.Write(req.Body)
+		_, err := conn.wire.Write(req.Body)
 		call.writeDone <- err
 	}()
 	return call, nil
--- a/internal/egress/head.go
+++ b/internal/egress/head.go
@@ -29,7 +29,7 @@
 // responseReader reads from a connection and bounds the heads of responses. It passes a head on line by line, so that a reader
 // behind it gets nothing of the body before the end of the head was seen.
 type responseReader struct {
-	conn *net.TCPConn
+	conn net.Conn
 	raw  *bufio.Reader
 	// deadline is the read deadline that the call has set.
 	deadline time.Time
@@ -44,7 +44,7 @@
 	lineStart bool
 }
 
-func newResponseReader(conn *net.TCPConn) *responseReader {
+func newResponseReader(conn net.Conn) *responseReader {
 	return &responseReader{conn: conn, raw: bufio.NewReaderSize(conn, readBufferBytes)}
 }
 
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
 	"github.com/greengagewheel/greengagewheel/internal/pace"
@@ -68,6 +69,8 @@
 	// Conn is a connection to an endpoint, used by one request at a time.
 	Conn struct {
 		*net.TCPConn
+		// wire is the connection as requests and responses use it.
+		wire        *answer.Conn
 		dest        Dest
 		source      *responseReader
 		reader      *bufio.Reader
@@ -283,6 +286,7 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	source := newResponseReader(c)
-	return &Conn{TCPConn: c, dest: dest, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	wire := answer.NewConn(c)
+	source := newResponseReader(wire)
+	return &Conn{TCPConn: c, wire: wire, dest: dest, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
