answer, egress: an answer with an invalid status is broken

What callers saw: an endpoint in trouble sent an answer with status 000. On routes, it was passed over like an informational one, so that the bytes behind its head were read as the next answer: a body that holds an answer reached the caller as that of the endpoint, and without a body the caller waited until its deadline. On contracts, net/http returned it as a final answer: a call got a reply with status 0, which was kept for its key too, and a generation ended with it as with a refusal that has not run. An answer that switches protocols (101), which no request asks for, was treated alike.

Cause: http.ReadResponse takes any three characters that are a number and not negative. internal/egress took all below 200 for informational ones, and net/http takes all but 1xx, and 101, for final ones.

Evidence: TestInvalidStatusIsAnAnswer (internal/proxy) and TestInvalidStatusIsAReply (internal/relay) with the statuses 000, 099, +20 and 101.

Why this works: answer.CheckStatus is asked before anything else is read from an answer, by egress and by answer.Transport. The answer then is one that has not come: the connection is closed, the request may have run, and is sent again only where it may be repeated. Informational answers are passed over as before.

--- a/internal/answer/transport.go
+++ b/internal/answer/transport.go
@@ -27,7 +27,16 @@
 
 // RoundTrip sends a request.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	return t.inner.RoundTrip(req)
+	resp, err := t.inner.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		// A connection with such a status is not used again by net/http.
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // CloseIdleConnections closes the pooled connections.
--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -139,6 +139,9 @@
 	for range maxForeignResponses {
 		call.conn.source.beginHead()
 		resp, err := http.ReadResponse(call.conn.reader, req)
+		if err == nil {
+			err = answer.CheckStatus(resp.StatusCode)
+		}
 		if err != nil {
 			return nil, fault.Wrap("read response", call.conn.dest.Addr.String(), err)
 		}
