answer, egress, detour: a head with an invalid field name is broken

What callers saw: an endpoint in trouble sent an answer in whose head the name of a field held a blank, or a line began with one. The caller got it as an answer without that field; where the field was the framing of the body, the caller got the framing as a part of the body. A refusal with such a head was taken for one, so that the request was sent again. On contracts the same. Names with control bytes were refused before.

Cause: net/http accepts blanks in the names of fields, which it passes over when it writes a head, and takes a line that begins with a blank for the rest of the value before it.

Why this works: answer.Head checks each line of a head as it is read, before net/http has it, in egress and in answer.Conn for net/http, which is told by answer.Transport when a head is due. A reader behind it never gets the end of such a head, so that the answer has not come, its status and marks count for nothing, and the connection is closed before it can return to a pool. A line that continues another is refused with it: no endpoint may send one, and a gateway may answer it with 502 (RFC 9112, 5.2). An instance of an older build passes heads on unchecked when it sends a request for another one: detour.Head checks their names too.

--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -23,11 +23,14 @@
 	net.Conn
 	writing  sync.Mutex
 	writeErr error
+	// reading guards head.
+	reading sync.Mutex
+	head    Head
 }
 
-// NewConn returns a Conn that uses inner.
+// NewConn returns a Conn that uses inner and expects no head.
 func NewConn(inner net.Conn) *Conn {
-	return &Conn{Conn: inner}
+	return &Conn{Conn: inner, head: Head{place: behindHead}}
 }
 
 // Write writes to the connection.
@@ -41,15 +44,38 @@
 	return n, err
 }
 
-// Read reads from the connection. At its end, it ends a write that is in progress, and returns ErrReset if that failed with a reset.
+// ExpectHead makes the reads from now on check the head of a response.
+func (c *Conn) ExpectHead() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.head = Head{}
+}
+
+// Read reads from the connection. It returns ErrFieldName from an invalid field name in an expected head on. At the end of the
+// connection, it ends a write that is in progress, and returns ErrReset if that failed as the connection was lost.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.headError(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if valid, headErr := c.head.Scan(p[:n]); headErr != nil {
+		return valid, headErr
+	}
 	return n, err
 }
 
+// headError returns the error of an invalid head that was read before.
+func (c *Conn) headError() error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return c.head.Err()
+}
+
 // endError returns io.EOF, or ErrReset if the end of the connection is a reset. A socket reports the loss of its connection once; if a
 // write gets that error, reads after it end as at a close. Once the endpoint has closed the connection, a reset fails writes with EPIPE.
 func (c *Conn) endError() error {
--- a/internal/answer/transport.go
+++ b/internal/answer/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Transport sends requests to endpoints and fails those whose responses are not sound.
@@ -27,13 +28,18 @@
 
 // RoundTrip sends a request.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.inner.RoundTrip(req)
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn = info.Conn
+		if c, ok := conn.(*Conn); ok {
+			c.ExpectHead()
+		}
+	}}
+	resp, err := t.inner.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckStatus(resp.StatusCode); err != nil {
-		// A connection with such a status is not used again by net/http.
-		_ = resp.Body.Close()
+	if err := Check(resp, conn); err != nil {
 		return nil, err
 	}
 	return resp, nil
--- a/internal/detour/wire.go
+++ b/internal/detour/wire.go
@@ -116,11 +116,14 @@
 	return nil
 }
 
-// Check returns an error if the status is not one of a final response.
+// Check returns an error if the status is not one of a final response, or the name of a field is not valid.
 func (h *Head) Check() error {
 	if h.Broken == "" && (h.Status < http.StatusOK || h.Status > maxStatus) {
 		return fmt.Errorf("head: status %d", h.Status)
 	}
+	if err := answer.CheckNames(h.Header); err != nil {
+		return fmt.Errorf("head: %w", err)
+	}
 	return nil
 }
 
--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -140,7 +140,7 @@
 		call.conn.source.beginHead()
 		resp, err := http.ReadResponse(call.conn.reader, req)
 		if err == nil {
-			err = answer.CheckStatus(resp.StatusCode)
+			err = answer.Check(resp, call.conn.TCPConn)
 		}
 		if err != nil {
 			return nil, fault.Wrap("read response", call.conn.dest.Addr.String(), err)
--- a/internal/egress/head.go
+++ b/internal/egress/head.go
@@ -8,6 +8,8 @@
 	"net"
 	"os"
 	"time"
+
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 )
 
 const (
@@ -42,6 +44,8 @@
 	onTimeout func() time.Duration
 	// lineStart is set if the next byte begins a line.
 	lineStart bool
+	// head checks the head that is read.
+	head answer.Head
 }
 
 func newResponseReader(conn net.Conn) *responseReader {
@@ -50,7 +54,7 @@
 
 // beginHead makes the reader expect the head of a response.
 func (r *responseReader) beginHead() {
-	r.inHead, r.lines, r.size, r.startedAt, r.lineStart = true, 0, 0, time.Time{}, true
+	r.inHead, r.lines, r.size, r.startedAt, r.lineStart, r.head = true, 0, 0, time.Time{}, true, answer.Head{}
 }
 
 // setDeadline sets the time at which reads fail.
@@ -73,6 +77,9 @@
 		}
 		return n, err
 	}
+	if err := r.head.Err(); err != nil {
+		return 0, err
+	}
 	if err := r.awaitHead(); err != nil {
 		return 0, err
 	}
@@ -121,7 +128,7 @@
 	return more > 0 && r.setDeadline(time.Now().Add(more)) == nil
 }
 
-// count counts a piece of a head, which ends with its first blank line.
+// count checks and counts a piece of a head, which ends with its first blank line.
 func (r *responseReader) count(piece []byte) error {
 	r.size += len(piece)
 	complete := piece[len(piece)-1] == '\n'
@@ -130,6 +137,9 @@
 	if complete {
 		r.lines++
 	}
+	if _, err := r.head.Scan(piece); err != nil {
+		return err
+	}
 	switch {
 	case blank && r.lines > 1:
 		r.inHead = false
--- a/internal/proxy/broken_head_test.go
+++ b/internal/proxy/broken_head_test.go
@@ -14,14 +14,17 @@
 // brokenHead is an answer whose head is not sound. Lines are the fields that follow those of a signed answer to the request.
 type brokenHead struct {
 	status, lines, rest string
+	// interim is what precedes the answer; closes is set if the connection is closed after it.
+	interim string
+	closes  bool
 }
 
-// respond writes the answer and keeps the connection open. In rest, %s stands for a sound answer with the body "forged".
+// respond writes the answer. In rest, %s stands for a sound answer with the body "forged".
 func (b brokenHead) respond(req receivedRequest, c net.Conn) bool {
 	own := "Id: " + req.Header.Get("Id") + "\r\nSigned: y\r\n"
 	forged := "HTTP/1.1 200 X\r\n" + own + "Content-Length: 6\r\n\r\nforged"
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\n%s%s\r\n%s", b.status, own, b.lines, strings.ReplaceAll(b.rest, "%s", forged))
-	return true
+	_, _ = fmt.Fprintf(c, "%sHTTP/1.1 %s X\r\n%s%s\r\n%s", b.interim, b.status, own, b.lines, strings.ReplaceAll(b.rest, "%s", forged))
+	return !b.closes
 }
 
 // checkBrokenHead checks what callers get for an answer with a broken head.
@@ -93,3 +96,52 @@
 		}
 	})
 }
+
+// invalidLines are lines that have no valid field name.
+var invalidLines = map[string]string{
+	"a blank before the colon": "Broken : x",
+	"a blank in a name":        "Bro ken: x",
+	"a tab before the colon":   "Broken\t: x",
+	"a tab in a name":          "Bro\tken: x",
+	"a NUL in a name":          "Bro\x00ken: x",
+	"a CR in a name":           "Bro\rken: x",
+	"a DEL in a name":          "Bro\x7fken: x",
+	"an empty name":            ": x",
+	"no colon":                 "broken",
+}
+
+// TestInvalidFieldNameIsPassedOn guards against answers with a head in which the name of a field is not valid, and which are passed on
+// without that field, or with a body that is framed in another way than the endpoint meant.
+func TestInvalidFieldNameIsPassedOn(t *testing.T) {
+	const chunked = "4\r\nbody\r\n0\r\n\r\n"
+	for name, line := range invalidLines {
+		checkBrokenHead(t, name, brokenHead{status: "200", lines: line + "\r\nContent-Length: 4\r\n", rest: "body"})
+		checkBrokenHead(t, name+" in a refusal", brokenHead{status: "503", lines: "Not-Run: 1\r\nContent-Length: 0\r\n" + line + "\r\n"})
+		checkBrokenHead(t, name+" in an informational answer",
+			brokenHead{interim: "HTTP/1.1 103 X\r\n" + line + "\r\n\r\n", status: "200", lines: "Content-Length: 4\r\n", rest: "body"})
+	}
+	for name, line := range map[string]string{"a blank before a name": " Broken: x", "a tab before a name": "\tBroken: x"} {
+		checkBrokenHead(t, name, brokenHead{status: "200", lines: "Content-Length: 4\r\n" + line + "\r\n", rest: "body"})
+	}
+	for name, line := range map[string]string{
+		"a blank behind the name of its framing":  "Transfer-Encoding : chunked",
+		"a blank before the name of its framing":  " Transfer-Encoding: chunked",
+		"two blanks behind its name of a framing": "Transfer-Encoding  : chunked",
+	} {
+		checkBrokenHead(t, name, brokenHead{status: "200", lines: "Content-Type: text/event-stream\r\n" + line + "\r\n", rest: chunked, closes: true})
+	}
+	Convey("valid names of all kinds are passed on", t, func() {
+		h := newHarness(t, func(req receivedRequest, c net.Conn) bool {
+			writeResponse(c, req, http.StatusOK, "body", "x!#$%&'*+-.^_`|~9", "1", "Empty", "", "Blanks", " \t a b\t ")
+			return true
+		})
+		for sent := range 3 {
+			resp := h.send(http.MethodPost, "/once/", "x")
+			So(resp.body, ShouldEqual, "body")
+			So(resp.header.Get("x!#$%&'*+-.^_`|~9"), ShouldEqual, "1")
+			So(resp.header.Get("Blanks"), ShouldEqual, "a b")
+			_, reused := h.proxy.Pools().ConnectionCounts()
+			So(reused, ShouldEqual, sent)
+		}
+	})
+}
--- a/internal/relay/broken_head_test.go
+++ b/internal/relay/broken_head_test.go
@@ -76,3 +76,28 @@
 		})
 	}
 }
+
+// invalidLines are lines that have no valid field name.
+var invalidLines = map[string]string{
+	"a blank before the colon": "Broken : x",
+	"a blank in a name":        "Bro ken: x",
+	"a tab in a name":          "Bro\tken: x",
+	"a NUL in a name":          "Bro\x00ken: x",
+	"a CR in a name":           "Bro\rken: x",
+	"an empty name":            ": x",
+	"no colon":                 "broken",
+}
+
+// TestInvalidFieldNameIsPassedOver guards against answers with a head in which the name of a field is not valid, and which are taken
+// without that field, or with a body that is framed in another way than the endpoint meant.
+func TestInvalidFieldNameIsPassedOver(t *testing.T) {
+	whole := event(1) + event(2) + event(3) + event(4) + endOfStream
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(whole))
+	for name, line := range invalidLines {
+		checkBrokenHead(t, "an answer with "+name, "HTTP/1.1 200 X\r\n"+line+"\r\n"+length+"\r\n"+whole)
+		checkBrokenHead(t, "an answer without a body with "+name, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n"+line+"\r\n\r\n")
+		checkBrokenHead(t, "a refusal with "+name, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n"+line+"\r\n\r\n")
+		checkBrokenHead(t, "an informational answer with "+name, "HTTP/1.1 103 X\r\n"+line+"\r\n\r\nHTTP/1.1 200 X\r\n"+length+"\r\n"+whole)
+	}
+	checkBrokenHead(t, "an answer with a blank before a name", "HTTP/1.1 200 X\r\n"+length+" Broken: x\r\n\r\n"+whole)
+}
