answer: an answer with an invalid trailer is broken

What callers saw: an answer in chunks whose trailer had a field with a blank in its name counted as complete, and its connection was used again. Trailers with control bytes, without a name or a colon were refused.

Cause: as for heads, net/http accepts blanks in names. answer.Head sees heads only, as a trailer is found behind the chunks alone.

Evidence: TestInvalidTrailerIsPassedOver.

Why this works: the body that answer.Check returns looks at the names of the trailer when the body ends, closes the connection, and fails instead of ending. On pooled connections of net/http, the connection is in the pool for the moment between; a request that takes it then fails as one whose connection broke.

--- a/internal/answer/check.go
+++ b/internal/answer/check.go
@@ -10,13 +10,36 @@
 // ErrStatus means that a response has a status that is neither informational nor that of a final response.
 var ErrStatus = errors.New("the response has an invalid status")
 
-// Check returns an error and closes the connection of a response if its status is not valid. Requests never ask to switch protocols, so
-// the status 101 is not valid.
+// trailedBody is a body in chunks, with a trailer behind it.
+type trailedBody struct {
+	io.ReadCloser
+	resp *http.Response
+	conn io.Closer
+}
+
+// Check returns an error and closes the connection of a response if its status is not valid. Reads of its body do the same at its end
+// if the trailer is not valid. Requests never ask to switch protocols, so the status 101 is not valid.
 func Check(resp *http.Response, conn io.Closer) error {
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
 		_ = resp.Body.Close()
 		_ = conn.Close()
 		return fmt.Errorf("%w: %03d", ErrStatus, resp.StatusCode)
 	}
+	if FramingOf(resp) == FramedByChunks {
+		resp.Body = &trailedBody{ReadCloser: resp.Body, resp: resp, conn: conn}
+	}
 	return nil
 }
+
+// Read reads from the body.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if nameErr := CheckNames(b.resp.Trailer); nameErr != nil {
+		_ = b.conn.Close()
+		return n, nameErr
+	}
+	return n, err
+}
--- a/internal/proxy/broken_head_test.go
+++ b/internal/proxy/broken_head_test.go
@@ -145,3 +145,55 @@
 		}
 	})
 }
+
+// TestInvalidTrailerIsPassedOver guards against answers whose trailer is not valid and which count as complete.
+func TestInvalidTrailerIsPassedOver(t *testing.T) {
+	withTrailer := func(trailer string) responder {
+		return func(req receivedRequest, c net.Conn) bool {
+			header, body := "", "body"
+			if strings.HasPrefix(req.URL.Path, "/stream") || strings.HasPrefix(req.URL.Path, "/resume") {
+				header, body = "Content-Type: text/event-stream\r\n", eventRange(1, 3)
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: y\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n",
+				req.Header.Get("Id"), header, len(body), body, trailer)
+			return true
+		}
+	}
+	for name, line := range invalidLines {
+		respond := withTrailer(line + "\r\n")
+		Convey("a call whose trailer has "+name+" fails and is not sent again, and its connection is not used again", t, func() {
+			h := newHarness(t, respond, echo)
+			So(h.send(http.MethodPost, "/once/", "x").status, ShouldEqual, http.StatusBadGateway)
+			So(h.chooser.endpoints[1].requests(), ShouldBeEmpty)
+			h = newHarness(t, respond)
+			for range 3 {
+				So(h.send(http.MethodPost, "/once/", "x").status, ShouldEqual, http.StatusBadGateway)
+			}
+			_, reused := h.proxy.Pools().ConnectionCounts()
+			So(reused, ShouldEqual, 0)
+		})
+		Convey("the same, by way of another instance: "+name, t, func() {
+			p := newPair(t, echo)
+			p.cut(linksRefused)
+			p.chooser.endpoints[0] = newFakeEndpoint(t, respond)
+			So(p.send(http.MethodPost, "/once/", "x").status, ShouldEqual, http.StatusBadGateway)
+			So(p.chooser.endpoints[0].requests(), ShouldHaveLength, 1)
+		})
+		Convey("a stream whose trailer has "+name+" is not complete, unless another endpoint ends it", t, func() {
+			resp := newHarness(t, respond).send(http.MethodPost, "/stream/", "x")
+			So(resp.body, ShouldEqual, eventRange(1, 3))
+			So(resp.complete, ShouldBeFalse)
+			resp = newHarness(t, respond, streamUpTo(3, 0)).send(http.MethodPost, "/resume/", "x")
+			So(resp.body, ShouldEqual, eventRange(1, 3))
+			So(resp.complete, ShouldBeTrue)
+		})
+	}
+	Convey("an answer with a valid trailer is passed on, and its connection is used again", t, func() {
+		h := newHarness(t, withTrailer("Checksum: 1\r\n"))
+		for sent := range 3 {
+			So(h.send(http.MethodPost, "/once/", "x").body, ShouldEqual, "body")
+			_, reused := h.proxy.Pools().ConnectionCounts()
+			So(reused, ShouldEqual, sent)
+		}
+	})
+}
--- a/internal/relay/broken_head_test.go
+++ b/internal/relay/broken_head_test.go
@@ -101,3 +101,34 @@
 	}
 	checkBrokenHead(t, "an answer with a blank before a name", "HTTP/1.1 200 X\r\n"+length+" Broken: x\r\n\r\n"+whole)
 }
+
+// TestInvalidTrailerIsPassedOver guards against replies whose trailer is not valid and which count as complete.
+func TestInvalidTrailerIsPassedOver(t *testing.T) {
+	withTrailer := func(trailer string) func(c *net.TCPConn, r io.Reader) bool {
+		return func(c *net.TCPConn, r io.Reader) bool {
+			_, _ = io.Copy(io.Discard, r)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n%s\r\n", trailer)
+			return true
+		}
+	}
+	for kind, call := range calls {
+		for name, line := range invalidLines {
+			Convey("A "+kind+" call whose reply has a trailer with "+name+" has none, and its connection is not used again", t, func() {
+				to, requests, connections := rawEndpoint(t, withTrailer(line+"\r\n"))
+				r := New()
+				for sent := 1; sent <= 3; sent++ {
+					_, err := call(r, to, []byte("{}"))
+					So(errors.Is(err, ErrBroken), ShouldBeTrue)
+					So(requests.Load(), ShouldEqual, sent)
+					So(connections.Load(), ShouldEqual, sent)
+				}
+			})
+		}
+		Convey("A "+kind+" call gets a reply with a valid trailer", t, func() {
+			to, _, _ := rawEndpoint(t, withTrailer("Checksum: 1\r\n"))
+			reply, err := call(New(), to, []byte("{}"))
+			So(err, ShouldBeNil)
+			So(string(reply.Body), ShouldEqual, "body")
+		})
+	}
+}
