--- a/internal/answer/check.go
+++ b/internal/answer/check.go
@@ -43,3 +43,16 @@
 	}
 	return n, err
 }
+
+// ReadBody reads a body up to a number of bytes. The error tells that it was cut or ended by an invalid trailer. If the body is larger,
+// whole is unset, and what was read is its beginning.
+func ReadBody(resp *http.Response, maxBytes int64) (body []byte, whole bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
+	switch {
+	case err != nil:
+		return nil, false, err
+	case int64(len(body)) > maxBytes:
+		return body[:maxBytes], false, nil
+	}
+	return body, true, CheckBody(FramingOf(resp), resp.Header, body)
+}
--- a/internal/engctl/engctl.go
+++ b/internal/engctl/engctl.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/conns"
 	"github.com/greengagewheel/greengagewheel/internal/ctrl"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
@@ -207,5 +208,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return state, fault.Errorf("order", addr.String(), "status %d", resp.StatusCode)
 	}
-	return state, json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxStateBytes)).Decode(&state)
+	answered, whole, err := answer.ReadBody(resp, maxStateBytes)
+	if err != nil {
+		return state, fault.Wrap("order", addr.String(), err)
+	}
+	if !whole {
+		return state, fault.Errorf("order", addr.String(), "the answer has more than %d bytes", maxStateBytes)
+	}
+	err = json.Unmarshal(answered, &state)
+	return state, fault.Wrap("order", addr.String(), err)
 }
--- a/internal/engctl/order_test.go
+++ b/internal/engctl/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -33,3 +34,41 @@
 		So(conns.Load(), ShouldEqual, orders)
 	})
 }
+
+// TestCutAnswerIsTaken guards against an engine's answer that was cut, or has a head or a trailer that is not valid, and counts as its
+// state.
+func TestCutAnswerIsTaken(t *testing.T) {
+	request := func(text string) error {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, text)
+			_ = c.Close()
+		}))
+		defer server.Close()
+		_, err := New(Options{}).request(context.Background(), http.MethodPost, netip.MustParseAddrPort(server.Listener.Addr().String()), nil)
+		return err
+	}
+	for name, text := range map[string]string{
+		"before its length":         "HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n{}",
+		"before its last chunk":     "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+		"inside its trailer":        "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nA: b",
+		"by bytes behind its state": "HTTP/1.1 200 X\r\nContent-Type: application/json\r\n\r\n{}{",
+	} {
+		Convey("an answer that was cut "+name+" tells no state", t, func() { So(request(text), ShouldNotBeNil) })
+	}
+	for name, text := range map[string]string{
+		"a status":         "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}",
+		"a name of fields": "HTTP/1.1 200 X\r\nContent-Length: 2\r\nBro ken: x\r\n\r\n{}",
+		"a trailer":        "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nBro ken: x\r\n\r\n",
+	} {
+		Convey("an answer with "+name+" that is not valid tells no state", t, func() { So(request(text), ShouldNotBeNil) })
+	}
+	Convey("a whole answer tells it, whatever its framing", t, func() {
+		for _, rest := range []string{"Content-Length: 2\r\n\r\n{}", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", "\r\n{}"} {
+			So(request("HTTP/1.1 200 X\r\n"+rest), ShouldBeNil)
+		}
+	})
+}
