proxy: a broken refusal is not taken for one

What callers saw: an endpoint refused a request as not run, and broke its answer off before the end of its length or chunks, ended it with bytes that are no chunk or an invalid trailer, or reset the connection. The request was sent to another endpoint, also if it may run once, or answered 503, which says that it has not run.

Cause: the body of a refusal was read only to keep the connection, and every error in it was passed over. A broken answer tells nothing of the request; engines behind contracts were treated so before (TestCutRefusalIsFinal).

Evidence: TestBrokenRefusalIsTaken. Before, 5 requests that may run once were answered by a second endpoint, and 5 got 503 by way of another instance, where all are to get 502.

Why this works: an error in the body of a refusal now counts as any other broken answer. A refusal whose body has not ended after 50 ms, or has more than 1 MiB, is not known to be broken and is taken as before, without its connection.

Measured: the test passes, and so do those of refusals as they were.

--- a/internal/answer/check.go
+++ b/internal/answer/check.go
@@ -7,8 +7,12 @@
 	"net/http"
 )
 
-// ErrStatus means that a response has a status that is neither informational nor that of a final response.
-var ErrStatus = errors.New("the response has an invalid status")
+var (
+	// ErrStatus means that a response has a status that is neither informational nor that of a final response.
+	ErrStatus = errors.New("the response has an invalid status")
+	// ErrTooLarge means that a body was not read to its end, so that it is not known whether it is whole.
+	ErrTooLarge = errors.New("the body is too large")
+)
 
 // trailedBody is a body in chunks, with a trailer behind it.
 type trailedBody struct {
--- a/internal/detour/call.go
+++ b/internal/detour/call.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/fault"
 )
 
@@ -172,7 +173,7 @@
 	case err != nil:
 		return c.wrap("skip response", err)
 	case n > maxSkippedBytes:
-		return fault.Errorf("skip response", c.via.String(), "more than %d bytes", maxSkippedBytes)
+		return fault.Errorf("skip response", c.via.String(), "%w: more than %d bytes", answer.ErrTooLarge, maxSkippedBytes)
 	}
 	return nil
 }
--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -44,8 +44,6 @@
 	ErrUnsent = errors.New("nothing was sent to the endpoint")
 	// ErrConnectionEnds means that a query was answered, but nothing more can be sent on its connection.
 	ErrConnectionEnds = errors.New("the connection ends with the answer")
-
-	errSkippedTooLarge = errors.New("the body to be skipped is too large")
 )
 
 type (
@@ -167,7 +165,7 @@
 func (call *Call) SkipBody(resp *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes+1))
 	if err == nil && n > maxSkippedBodyBytes {
-		err = errSkippedTooLarge
+		err = answer.ErrTooLarge
 	}
 	return fault.Wrap("skip response", call.conn.dest.Addr.String(), err)
 }
@@ -255,7 +253,7 @@
 	switch {
 	case err != nil:
 	case len(body) > maxQueryBytes:
-		err = errSkippedTooLarge
+		err = answer.ErrTooLarge
 	case resp.StatusCode != http.StatusOK:
 		err = &StatusError{resp.StatusCode}
 	case resp.Close || answer.FramingOf(resp) == answer.FramedByConnection || !call.stopCancel():
--- a/internal/proxy/broken.go
+++ b/internal/proxy/broken.go
@@ -8,13 +8,15 @@
 
 	"go.uber.org/zap"
 
+	"github.com/greengagewheel/greengagewheel/internal/answer"
 	"github.com/greengagewheel/greengagewheel/internal/detour"
 	"github.com/greengagewheel/greengagewheel/internal/egress"
 	"github.com/greengagewheel/greengagewheel/internal/place"
 )
 
 const (
-	// refusalBodyTimeout bounds the wait for the body of a refusal, which is only read to keep the connection.
+	// refusalBodyTimeout bounds the wait for the body of a refusal, which tells whether the refusal is broken. Without the end of the body,
+	// the connection is not kept.
 	refusalBodyTimeout = 50 * time.Millisecond
 	// fullRetryAfter is the Retry-After when endpoints are at capacity.
 	fullRetryAfter = 500 * time.Millisecond
@@ -32,18 +34,22 @@
 	return attemptResult{retry: true, rejection: &rejection{status: http.StatusServiceUnavailable, reason: "endpoint not reached"}}
 }
 
-// handleNotRun handles an endpoint's response that it has not run the request.
+// handleNotRun handles an endpoint's response that it has not run the request. declined is unset if the response is broken, and the request
+// may have run.
 func (req *request) handleNotRun(choice place.Choice, call exchange, resp *http.Response, info ResponseInfo,
-	outcome place.Outcome) attemptResult {
+	outcome place.Outcome) (result attemptResult, declined bool) {
 	err := call.SetReadTimeout(min(refusalBodyTimeout, req.deadline.Sub(req.proxy.opt.Now())))
 	if err == nil {
 		err = call.SkipBody(resp)
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+		releaseRefused(req.proxy.opt.Now(), call, resp, info)
+	case isTimeout(err), errors.Is(err, answer.ErrTooLarge):
 		req.log.Debug("rest of a refusal not read", zap.String("endpoint", choice.ID), zap.Error(err))
 		call.Abort()
-	} else {
-		releaseRefused(req.proxy.opt.Now(), call, resp, info)
+	default:
+		return req.handleBroken(choice, call, err), false
 	}
 	req.declinedCount++
 	req.proxy.opt.Chooser.RecordOutcome(req.attemptID, outcome)
@@ -51,7 +57,7 @@
 		zap.Bool("named", info.ID != ""), zap.Bool("reused", call.Reused()), zap.Duration("after", req.proxy.opt.Now().Sub(req.sentAt)))
 	return attemptResult{retry: true, rejection: &rejection{
 		status: http.StatusServiceUnavailable, reason: "endpoint full", retryAfter: fullRetryAfter,
-	}}
+	}}, true
 }
 
 // refusalOutcome returns the outcome of an attempt that was refused as not run.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -215,7 +215,8 @@
 	req.firstByteTime = req.proxy.opt.Now().Sub(req.arrivedAt)
 	switch {
 	case info.Misdirected, info.NotRun:
-		return req.handleNotRun(choice, call, resp, info, refusalOutcome(info))
+		result, _ := req.handleNotRun(choice, call, resp, info, refusalOutcome(info))
+		return result
 	case resp.Header.Get("Content-Encoding") != "", !info.Signed && resp.StatusCode < http.StatusMultipleChoices:
 		return req.handleBroken(choice, call, errForeignResponse)
 	}
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -227,9 +227,9 @@
 			return nil
 		case err != nil:
 		case info.NotRun || info.Misdirected:
-			req.handleNotRun(choice, call, resp, info, refusalOutcome(info))
+			_, declined := req.handleNotRun(choice, call, resp, info, refusalOutcome(info))
 			req.excluded = append(req.excluded, choice.ID)
-			if !req.takeRetry(req.proxy.opt.Now()) {
+			if !declined || !req.takeRetry(req.proxy.opt.Now()) {
 				return nil
 			}
 			continue
