proxy: no 503 after a broken answer, also for what may be repeated

What callers saw: an endpoint broke its answer to a request of a route whose requests may be repeated, others refused it, and the caller got 503, which says that the request has not run. For other kinds of requests it got 502. A stream that was sought elsewhere in vain, while its endpoint was silent and then refused it, forgot that the other one may have run it.

Cause: the check that turns such a 503 into a 502 left these routes out, and the result of a search was taken over without that mark.

Evidence: TestBrokenAnswerIsToldNotRun; before, a request got 503 from three endpoints that refuse it after one that broke its answer. The second case was found by reading.

Why this works: the check asks only whether an endpoint may have run the request, and covers all statuses that say that it has not.

Measured: the test passes, and so do those of the package.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -92,7 +92,7 @@
 	if req.sentCount == 0 && rej.retryAfter == 0 {
 		rej.retryAfter = unreachableRetryAfter(req.proxy.opt.Now().Sub(req.arrivedAt), req.caller.Deadline)
 	}
-	if req.mayHaveRun && req.route.Kind != table.Idempotent && rej.status == http.StatusServiceUnavailable {
+	if req.mayHaveRun && impliesNotRun(rej.status) {
 		rej = &rejection{status: http.StatusBadGateway, reason: rej.reason}
 	}
 	req.reject(rej)
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -108,6 +108,7 @@
 		if got == nil {
 			cancel()
 			h.req.attempts, h.req.sentCount, h.req.declinedCount = next.attempts, next.sentCount, next.declinedCount
+			h.req.mayHaveRun = h.req.mayHaveRun || next.mayHaveRun
 			return
 		}
 		h.taken = got
