--- a/internal/proxy/early_answer_test.go
+++ b/internal/proxy/early_answer_test.go
@@ -77,6 +77,7 @@
 		"a call":               {"/once/", "", "part of it", http.StatusOK},
 		"a failure of a call":  {"/once/", "", "part of it", http.StatusInternalServerError},
 		"a client error":       {"/once/", "", "part of it", http.StatusNotFound},
+		"a large call":         {"/once/", "", strings.Repeat("part", maxBufferedResponseBytes/3), http.StatusOK},
 		"a stream":             {"/stream/", "Content-Type: text/event-stream\r\n", eventRange(1, 3), http.StatusOK},
 		"a failure of streams": {"/stream/", "", "part of it", http.StatusInternalServerError},
 	}
