answer, proxy: tests of broken answers hold beside load

Beside ten busy processes, TestEarlyAnswerFails failed in 6 of 8 runs, on too (4 of 8): its endpoint read on after an answer with a length, as it should, then closed the connection without saying so, and the next request on the kept connection met a reset. It now serves on, so that the kept connection is used. In TestConnEnd the write has begun when the read ends, instead of after 10 ms; in TestBrokenRefusalIsTaken the reset comes at once instead of after 10 ms. TestResetDuringUploadLooksComplete counts answers with the endpoint's status as complete, so that a 504 on a busy machine is none.

--- a/internal/answer/conn_test.go
+++ b/internal/answer/conn_test.go
@@ -11,16 +11,17 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// endedConn is a connection at its end. Writes wait for a deadline and fail with writeErr.
+// endedConn is a connection at its end. A write closes began, waits for a deadline and fails with writeErr.
 type endedConn struct {
 	net.Conn
-	interrupted chan struct{}
-	writeErr    error
+	began, interrupted chan struct{}
+	writeErr           error
 }
 
 func (c *endedConn) Read([]byte) (int, error) { return 0, io.EOF }
 
 func (c *endedConn) Write([]byte) (int, error) {
+	close(c.began)
 	<-c.interrupted
 	return 0, c.writeErr
 }
@@ -33,16 +34,14 @@
 // TestConnEnd guards against a connection that was lost and counts as closed by the endpoint, and against the opposite.
 func TestConnEnd(t *testing.T) {
 	endAfter := func(writeErr error) error {
-		inner := &endedConn{interrupted: make(chan struct{}), writeErr: writeErr}
+		inner := &endedConn{began: make(chan struct{}), interrupted: make(chan struct{}), writeErr: writeErr}
 		conn := NewConn(inner)
-		began, ended := make(chan struct{}), make(chan struct{})
+		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			close(began)
 			_, _ = conn.Write([]byte("x"))
 		}()
-		<-began
-		time.Sleep(10 * time.Millisecond)
+		<-inner.began
 		_, err := conn.Read(make([]byte, 1))
 		<-ended
 		return err
--- a/internal/proxy/broken_refusal_test.go
+++ b/internal/proxy/broken_refusal_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -17,7 +16,6 @@
 		return func(req receivedRequest, c net.Conn) bool {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\n%s", req.Header.Get("Id"), rest)
 			if reset {
-				time.Sleep(10 * time.Millisecond)
 				_ = c.(*net.TCPConn).SetLinger(0)
 			}
 			return false
--- a/internal/proxy/early_answer_test.go
+++ b/internal/proxy/early_answer_test.go
@@ -22,8 +22,8 @@
 	smallBuffer = 4 << 10
 )
 
-// earlyAnswer handles a request whose head is read, and not its body. The connection is closed after it.
-type earlyAnswer func(req *http.Request, c *net.TCPConn)
+// earlyAnswer handles a request whose head is read, and not its body. If it returns false, the connection is closed.
+type earlyAnswer func(req *http.Request, c *net.TCPConn) bool
 
 // newEarlyEndpoint starts an endpoint that keeps no bodies. It returns its address and the number of requests.
 func newEarlyEndpoint(t *testing.T, answer earlyAnswer) (netip.AddrPort, *atomic.Int64) {
@@ -41,13 +41,16 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				r := bufio.NewReaderSize(c, 4<<10)
-				req, err := http.ReadRequest(r)
-				if err != nil {
-					return
+				for r := bufio.NewReader(c); ; {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					requests.Add(1)
+					if !answer(req, c) {
+						return
+					}
 				}
-				requests.Add(1)
-				answer(req, c)
 			}()
 		}
 	}()
@@ -56,11 +59,12 @@
 
 // resetDuringUpload writes an answer without a length and resets the connection while the request's body is being written.
 func resetDuringUpload(status int, header, body string) earlyAnswer {
-	return func(req *http.Request, c *net.TCPConn) {
+	return func(req *http.Request, c *net.TCPConn) bool {
 		_ = c.SetReadBuffer(smallBuffer)
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\nSigned: y\r\n%s\r\n%s", status, req.Header.Get("Id"), header, body)
 		time.Sleep(5 * time.Millisecond)
 		_ = c.SetLinger(0)
+		return false
 	}
 }
 
@@ -86,7 +90,7 @@
 		// sendAll returns how many answers look complete.
 		sendAll := func(h *harness) (complete int) {
 			for range tries {
-				if resp := h.send(http.MethodPost, c.target, upload); resp.complete && resp.status != http.StatusBadGateway {
+				if resp := h.send(http.MethodPost, c.target, upload); resp.complete && resp.status == c.status {
 					complete++
 				}
 			}
@@ -113,9 +117,10 @@
 	Convey("a request that may be repeated is answered by another endpoint", t, func() {
 		h := newHarness(t, echo, echo)
 		h.chooser.endpoints[0].addr, _ = newEarlyEndpoint(t, resetDuringUpload(http.StatusOK, "", "part of it"))
-		h.chooser.endpoints[1].addr, _ = newEarlyEndpoint(t, func(req *http.Request, c *net.TCPConn) {
+		h.chooser.endpoints[1].addr, _ = newEarlyEndpoint(t, func(req *http.Request, c *net.TCPConn) bool {
 			size, _ := io.Copy(io.Discard, req.Body)
 			writeResponse(c, receivedRequest{Request: req}, http.StatusOK, fmt.Sprint("all ", size))
+			return true
 		})
 		for range tries {
 			resp := h.send(http.MethodPost, "/repeat/", upload)
@@ -127,9 +132,9 @@
 		h := newHarness(t, echo, echo)
 		h.chooser.endpoints[0].addr, _ = newEarlyEndpoint(t,
 			resetDuringUpload(http.StatusOK, "Content-Type: text/event-stream\r\n", eventRange(1, 3)))
-		h.chooser.endpoints[1].addr, _ = newEarlyEndpoint(t, func(req *http.Request, c *net.TCPConn) {
+		h.chooser.endpoints[1].addr, _ = newEarlyEndpoint(t, func(req *http.Request, c *net.TCPConn) bool {
 			_, _ = io.Copy(io.Discard, req.Body)
-			streamUpTo(5, 0)(receivedRequest{Request: req}, c)
+			return streamUpTo(5, 0)(receivedRequest{Request: req}, c)
 		})
 		for range tries {
 			resp := h.send(http.MethodPost, "/resume/", upload)
@@ -152,13 +157,14 @@
 	}
 	for name, c := range cases {
 		framedByConnection := c.header == "" || c.header == events
-		answer := func(req *http.Request, conn *net.TCPConn) {
+		answer := func(req *http.Request, conn *net.TCPConn) bool {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: y\r\n%s\r\n%s", req.Header.Get("Id"), c.header, c.framed)
 			if framedByConnection {
 				_ = conn.CloseWrite()
 			}
 			time.Sleep(5 * time.Millisecond)
-			_, _ = io.Copy(io.Discard, req.Body)
+			_, err := io.Copy(io.Discard, req.Body)
+			return err == nil && !framedByConnection
 		}
 		check := func(h *harness) {
 			early, requests := newEarlyEndpoint(t, answer)
