--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -21,6 +21,7 @@
 // writer at a time.
 type Conn struct {
 	net.Conn
+	// writing is held by a write in progress; it guards writeErr, the first error of a write.
 	writing  sync.Mutex
 	writeErr error
 	// reading guards head.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -97,16 +96,13 @@
 		return Reply{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	body, whole, err := answer.ReadBody(resp, maxReplyBytes)
 	if err != nil {
 		return Reply{}, err
 	}
-	if len(body) > maxReplyBytes {
+	if !whole {
 		return Reply{}, errReplyTooLarge
 	}
-	if err := answer.CheckBody(answer.FramingOf(resp), resp.Header, body); err != nil {
-		return Reply{}, err
-	}
 	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
--- a/internal/relay/early_answer_test.go
+++ b/internal/relay/early_answer_test.go
@@ -71,6 +71,24 @@
 	// Whether the write or the read gets the error is a matter of chance.
 	const tries = 15
 	upload := bytes.Repeat([]byte("x"), uploadBytes)
+	Convey("A generation takes no refusal that is reset during the upload", t, func() {
+		to, _, _ := rawEndpoint(t, func(c *net.TCPConn, _ io.Reader) bool {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 400 X\r\nContent-Type: text/plain\r\n\r\npart of it")
+			time.Sleep(5 * time.Millisecond)
+			_ = c.SetLinger(0)
+			return false
+		})
+		refused := 0
+		for range tries {
+			stream := Stream{ID: "c:1", Path: "/", Body: upload, FirstTokenTimeout: 5 * time.Second, TokenGapTimeout: 5 * time.Second}
+			err := New().Fetch(context.Background(), to, stream, 0, func(Event) error { return nil })
+			So(err, ShouldNotBeNil)
+			if errors.As(err, new(*Refusal)) {
+				refused++
+			}
+		}
+		So(refused, ShouldEqual, 0)
+	})
 	for name, call := range calls {
 		Convey("A "+name+" call whose reply is reset during the upload has none", t, func() {
 			to, requests, _ := rawEndpoint(t, func(c *net.TCPConn, _ io.Reader) bool {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -202,10 +202,7 @@
 
 // readRefusal reads an error response. Of one larger than 64 KiB, it returns the beginning.
 func readRefusal(resp *http.Response) (*Refusal, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
-	if err == nil && len(body) < maxRefusalBytes {
-		err = answer.CheckBody(answer.FramingOf(resp), resp.Header, body)
-	}
+	body, _, err := answer.ReadBody(resp, maxRefusalBytes)
 	if err != nil {
 		return nil, err
 	}
