--- a/review/_stand3/bigconfig.go
+++ b/review/_stand3/bigconfig.go
@@ -17,7 +17,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, `{"version":%d,"routes":[{"name":"i","host":"h.example","pathPrefix":"/i/","kind":"idempotent","timeoutMs":3000,"targetLatencyMs":300,"priority":1,"service":%q,"maxAttempts":2},`, version, service)
 	fmt.Fprintf(&b, `{"name":"n","host":"h.example","pathPrefix":"/n/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"priority":1,"service":%q,"maxAttempts":1},`, service)
-	fmt.Fprintf(&b, `{"name":"s","host":"h.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":2000,"priority":1,"service":%q,"maxAttempts":1,"gapTargetMs":800}]`, service)
+	fmt.Fprintf(&b, `{"name":"s","host":"h.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":2000,"priority":1,"service":%q,"maxAttempts":2,"streamResumption":true,"gapTargetMs":800}]`, service)
 	fmt.Fprintf(&b, `,"services":[{"name":%q,"healthPath":"/health","connectionLimit":310,"protocol":"h1","tls":false}]`, service)
 	b.WriteString(`,"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"org","apiKeys":["k"],"priority":1}`)
 	for t := range tenantCount {
--- a/review/_stand3/servers.go
+++ b/review/_stand3/servers.go
@@ -24,36 +24,40 @@
 type (
 	// server is a server of a service. It runs what names it as the expected instance, and tells the platform's registries of itself.
 	server struct {
-		id, service, zone, addr string
-		born                    int64
-		rec                     *record
-		runs                    atomic.Int64
+		id, service, zone, addr, version string
+		born                             int64
+		rec                              *record
+		runs                             atomic.Int64
 		// answer writes the answer to a request; nil stands for a short one.
 		answer func(w http.ResponseWriter, req *http.Request)
-		// other, if set, may answer any request instead; it reports whether it has.
-		other func(w http.ResponseWriter, req *http.Request) bool
-		http  *http.Server
-		stop  chan struct{}
-		mu    sync.Mutex
-		ran   map[string]int
+		http   *http.Server
+		stop   chan struct{}
+		mu     sync.Mutex
+		ran    map[string]int
 	}
 )
 
 // startServer starts a server at a loopback address.
 func startServer(rec *record, n int, service, zone string, registries []string, answer func(http.ResponseWriter, *http.Request)) (*server, error) {
-	l, err := net.Listen("tcp", ipOf(100+n)+":0")
-	if err != nil {
-		return nil, err
-	}
 	s := &server{
-		id: fmt.Sprintf("i-%08x", 0x7f3a9100+n), service: service, zone: zone, addr: l.Addr().String(), born: time.Now().UnixMilli(),
-		rec: rec, answer: answer, stop: make(chan struct{}), ran: map[string]int{},
+		id: fmt.Sprintf("i-%08x", 0x7f3a9100+n), service: service, zone: zone, addr: ipOf(100+n) + ":0", version: "v1", rec: rec, answer: answer,
+		ran: map[string]int{},
+	}
+	return s, s.start(registries, 0)
+}
+
+// start makes a server listen, as a new process. Its first heartbeat is sent after beatDelay.
+func (s *server) start(registries []string, beatDelay time.Duration) error {
+	l, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return err
 	}
+	s.addr, s.born, s.stop = l.Addr().String(), time.Now().UnixMilli(), make(chan struct{})
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
-	go s.beat(registries)
-	rec.quiet("server %s of %s listens at %s", s.id, service, s.addr)
-	return s, nil
+	go s.beat(registries, beatDelay, s.stop)
+	s.rec.quiet("server %s of %s, version %s, born %d, listens at %s", s.id, s.service, s.version, s.born, s.addr)
+	return nil
 }
 
 func (s *server) close() {
@@ -62,7 +66,12 @@
 }
 
 // beat sends heartbeats: to the address that the last acknowledgement named, or to the next registry.
-func (s *server) beat(registries []string) {
+func (s *server) beat(registries []string, delay time.Duration, stop <-chan struct{}) {
+	select {
+	case <-stop:
+		return
+	case <-time.After(delay):
+	}
 	next := ""
 	for n := 0; ; n++ {
 		addr := next
@@ -75,7 +84,7 @@
 			wait = 100 * time.Millisecond
 		}
 		select {
-		case <-s.stop:
+		case <-stop:
 			return
 		case <-time.After(wait):
 		}
@@ -84,7 +93,7 @@
 
 func (s *server) sendBeat(addr string, sequence int) (next string) {
 	body, _ := json.Marshal(map[string]any{
-		"service": s.service, "address": s.addr, "zone": s.zone, "version": "v1", "slots": serverSlots, "state": "ready",
+		"service": s.service, "address": s.addr, "zone": s.zone, "version": s.version, "slots": serverSlots, "state": "ready",
 		"coldRemainingMs": 0, "sequence": sequence, "born": s.born,
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -111,9 +120,6 @@
 // ServeHTTP answers a request.
 func (s *server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Attempt-Id")
-	if s.other != nil && s.other(w, req) {
-		return
-	}
 	switch {
 	case req.URL.Path == "/v1/report":
 		_, _ = fmt.Fprintf(w, `{"phase":"prefill_decode","models":[],"born":%d}`, s.born)
