--- a/review/_stand3/bigconfig.go
+++ b/review/_stand3/bigconfig.go
@@ -12,13 +12,17 @@
 	keysEach = 64
 )
 
-// configuration returns a configuration with a number of tenants.
-func configuration(version, tenantCount, keys int, service string) []byte {
+// engine makes the servers of a configuration's service model servers.
+const engine = `,"inferenceEngine":{"slots":48,"kvCapacityTokens":394350,"kvTokenBytes":131072,"linkMbps":740000.0,"moves":true,"backups":true,` +
+	`"stride":6,"most":12,"pinMs":4000.0,"holdMs":2000.0,"kvHandleS":5.0,"models":[{"name":"m"}]}`
+
+// configuration returns a configuration with a number of tenants. extra is added to the fields of its service.
+func configuration(version, tenantCount, keys int, service, extra string) []byte {
 	var b strings.Builder
 	fmt.Fprintf(&b, `{"version":%d,"routes":[{"name":"i","host":"h.example","pathPrefix":"/i/","kind":"idempotent","timeoutMs":3000,"targetLatencyMs":300,"priority":1,"service":%q,"maxAttempts":2},`, version, service)
 	fmt.Fprintf(&b, `{"name":"n","host":"h.example","pathPrefix":"/n/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"priority":1,"service":%q,"maxAttempts":1},`, service)
 	fmt.Fprintf(&b, `{"name":"s","host":"h.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":2000,"priority":1,"service":%q,"maxAttempts":2,"streamResumption":true,"gapTargetMs":800}]`, service)
-	fmt.Fprintf(&b, `,"services":[{"name":%q,"healthPath":"/health","connectionLimit":310,"protocol":"h1","tls":false}]`, service)
+	fmt.Fprintf(&b, `,"services":[{"name":%q,"healthPath":"/health","connectionLimit":310,"protocol":"h1","tls":false%s}]`, service, extra)
 	b.WriteString(`,"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"org","apiKeys":["k"],"priority":1}`)
 	for t := range tenantCount {
 		fmt.Fprintf(&b, `,{"name":"t%d","apiKeys":[`, t)
@@ -48,7 +52,7 @@
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
-	if _, err := d.replace(configuration(1, 10, 2, "p"), time.Second, 20*time.Second); err != nil {
+	if _, err := d.replace(configuration(1, 10, 2, "p", ""), time.Second, 20*time.Second); err != nil {
 		return false, err
 	}
 	time.Sleep(10 * time.Second)
@@ -69,7 +73,7 @@
 // acknowledgeAndKill sends a configuration until it is acknowledged, kills and starts the core if trouble is set, and returns the newest
 // version that is read back until recoveryS after the core is back.
 func (d *deployment) acknowledgeAndKill(version int, trouble bool) (newest int, err error) {
-	big := configuration(version, tenants, keysEach, "p")
+	big := configuration(version, tenants, keysEach, "p", "")
 	d.rec.printf("sends version %d, %d bytes, %d tenants with %d keys each", version, len(big), tenants, keysEach)
 	by, err := d.replace(big, 6*time.Second, 30*time.Second)
 	if err != nil {
--- a/review/_stand3/crowd.go
+++ b/review/_stand3/crowd.go
@@ -36,7 +36,7 @@
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
-	if _, err := d.replace(configuration(1, 10, 2, "p"), time.Second, 20*time.Second); err != nil {
+	if _, err := d.replace(configuration(1, 10, 2, "p", ""), time.Second, 20*time.Second); err != nil {
 		return false, err
 	}
 	for n := range 3 {
--- a/review/_stand3/replace.go
+++ b/review/_stand3/replace.go
@@ -31,7 +31,7 @@
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
-	if _, err := d.replace(configuration(1, 10, 2, "p"), time.Second, 20*time.Second); err != nil {
+	if _, err := d.replace(configuration(1, 10, 2, "p", ""), time.Second, 20*time.Second); err != nil {
 		return false, err
 	}
 	for n := range 3 {
@@ -47,7 +47,7 @@
 		}
 	}
 	time.Sleep(12 * time.Second)
-	by, err := d.replace(configuration(2, 10, 2, "p"), time.Second, 10*time.Second)
+	by, err := d.replace(configuration(2, 10, 2, "p", ""), time.Second, 10*time.Second)
 	if err != nil {
 		return false, err
 	}
--- a/review/_stand3/servers.go
+++ b/review/_stand3/servers.go
@@ -28,6 +28,8 @@
 		born                             int64
 		rec                              *record
 		runs                             atomic.Int64
+		// silence is the time after its start for which the server sends nothing.
+		silence time.Duration
 		// answer writes the answer to a request; nil stands for a short one.
 		answer func(w http.ResponseWriter, req *http.Request)
 		http   *http.Server
@@ -120,6 +122,7 @@
 // ServeHTTP answers a request.
 func (s *server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Attempt-Id")
+	time.Sleep(time.Until(time.UnixMilli(s.born).Add(s.silence)))
 	switch {
 	case req.URL.Path == "/v1/report":
 		_, _ = fmt.Fprintf(w, `{"phase":"prefill_decode","models":[],"born":%d}`, s.born)
--- a/review/_stand3/versions.go
+++ b/review/_stand3/versions.go
@@ -31,9 +31,20 @@
 	mostMixed = 2
 )
 
-// versions lets the servers of a service crash and start again in their place, under their IDs, with another version of their software. No more than two
-// streams may hold events of both versions, over all tries of their clients.
+// versions plays servers of a service without engines, which answer at once after their start.
 func versions(rec *record, trouble bool) (bool, error) {
+	return startWithVersion(rec, trouble, "", 0)
+}
+
+// silentEngines plays model servers that send nothing for a second or so after their start.
+func silentEngines(rec *record, trouble bool) (bool, error) {
+	return startWithVersion(rec, trouble, engine, beatLate)
+}
+
+// startWithVersion lets the servers of a service crash and start again in their place, under their IDs, with another version of their
+// software. No more than two streams may hold events of both versions, over all tries of their clients. extra is added to the fields of
+// the service, and the new processes send nothing for the time of silence.
+func startWithVersion(rec *record, trouble bool, extra string, silence time.Duration) (bool, error) {
 	d, err := newDeployment(rec, 3, 0, 2, 280, 134)
 	if err != nil {
 		return false, err
@@ -42,7 +53,7 @@
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
-	if _, err := d.replace(configuration(1, 10, 2, "p"), time.Second, 20*time.Second); err != nil {
+	if _, err := d.replace(configuration(1, 10, 2, "p", extra), time.Second, 20*time.Second); err != nil {
 		return false, err
 	}
 	var servers []*server
@@ -98,7 +109,7 @@
 		rec.printf("the servers are down")
 		time.Sleep(serverDown)
 		for _, s := range servers {
-			s.version = "v2"
+			s.version, s.silence = "v2", silence
 			if err := s.start(d.registries(), beatLate); err != nil {
 				return false, err
 			}
