--- a/review/_stand3/bigconfig.go
+++ b/review/_stand3/bigconfig.go
@@ -16,6 +16,9 @@
 const engine = `,"inferenceEngine":{"slots":48,"kvCapacityTokens":394350,"kvTokenBytes":131072,"linkMbps":740000.0,"moves":true,"backups":true,` +
 	`"stride":6,"most":12,"pinMs":4000.0,"holdMs":2000.0,"kvHandleS":5.0,"models":[{"name":"m"}]}`
 
+// streamAttempts is the part of a configuration that sets maxAttempts of the streaming route.
+const streamAttempts = `"maxAttempts":2,"streamResumption"`
+
 // configuration returns a configuration with a number of tenants. extra is added to the fields of its service.
 func configuration(version, tenantCount, keys int, service, extra string) []byte {
 	var b strings.Builder
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -21,7 +21,7 @@
 var errNotRun = errors.New("the case could not run")
 
 func main() {
-	cases := map[string]func(rec *record, trouble bool) (bool, error){"replace": replaceCores, "bigconfig": bigConfig, "crowd": crowd, "versions": versions, "silent": silentEngines}
+	cases := map[string]func(rec *record, trouble bool) (bool, error){"replace": replaceCores, "bigconfig": bigConfig, "crowd": crowd, "silent": silentEngines, "takeups": takeUps}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
 		os.Exit(notRun)
