--- a/review/_stand3/bigconfig.go
+++ b/review/_stand3/bigconfig.go
@@ -55,7 +55,7 @@
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
-	if _, err := d.replace(configuration(1, 10, 2, "p", ""), time.Second, 20*time.Second); err != nil {
+	if _, err := d.replace(configuration(1, 10, 2, "p", ""), time.Second, 12*time.Second); err != nil {
 		return false, err
 	}
 	time.Sleep(10 * time.Second)
@@ -78,7 +78,7 @@
 func (d *deployment) acknowledgeAndKill(version int, trouble bool) (newest int, err error) {
 	big := configuration(version, tenants, keysEach, "p", "")
 	d.rec.printf("sends version %d, %d bytes, %d tenants with %d keys each", version, len(big), tenants, keysEach)
-	by, err := d.replace(big, 6*time.Second, 30*time.Second)
+	by, err := d.replace(big, 6*time.Second, 12*time.Second)
 	if err != nil {
 		return 0, err
 	}
