group: logs tell when members go silent and when membership changes commit

New lines: silence and return of members (leader only), commitment of changes, changes of role. repl.Status has the index of the newest membership change and the silent members; earlier builds ignore both fields.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -108,6 +108,8 @@
 		onLeaderChange func()
 		// mayFound is false on a replica that may only join a cluster.
 		mayFound atomic.Bool
+		// committedConf is the index of the last membership change that was logged as committed.
+		committedConf uint64
 		// failedAt is the time of the last storage failure or failed attempt to reopen; zero while storage works.
 		failedAt time.Time
 	}
@@ -370,18 +372,44 @@
 	leader, _ := g.core.Leader()
 	g.mu.Lock()
 	leaderChanged := g.leader.ID != leader.ID
-	before := g.status.Conf
+	before := g.status
 	g.status, g.leader = status, leader
 	g.mu.Unlock()
-	if !slices.Equal(before.Members, status.Conf.Members) {
-		g.opt.Log.Info("members of the log changed", zap.Stringer("members", status.Conf),
-			zap.Uint64("last", status.LastIndex), zap.Uint64("term", status.Term))
-	}
+	g.logMembership(before, status)
 	if leaderChanged && g.onLeaderChange != nil {
 		g.onLeaderChange()
 	}
 }
 
+// logMembership logs what two successive states differ in: membership changes when they are appended and when they are committed, and on
+// the leader the members that stop or start responding.
+func (g *Group) logMembership(before, now repl.Status) {
+	if !slices.Equal(before.Conf.Members, now.Conf.Members) {
+		g.opt.Log.Info("members of the log changed", zap.Stringer("members", now.Conf), zap.Uint64("index", now.ConfIndex),
+			zap.Uint64("last", now.LastIndex), zap.Uint64("term", now.Term), zap.String("role", now.Role))
+	}
+	if now.ConfIndex > g.committedConf && now.ConfIndex <= now.CommitIndex {
+		g.committedConf = now.ConfIndex
+		g.opt.Log.Info("change of log members committed", zap.Stringer("members", now.Conf), zap.Uint64("index", now.ConfIndex),
+			zap.Uint64("term", now.Term), zap.String("role", now.Role))
+	}
+	if before.Term != now.Term || before.Role != now.Role {
+		g.opt.Log.Info("role in the log changed", zap.String("role", now.Role), zap.Uint64("term", now.Term))
+	}
+	for _, s := range now.Unresponsive {
+		if !slices.ContainsFunc(before.Unresponsive, func(b repl.Silence) bool { return b.Member.ID == s.Member.ID }) {
+			g.opt.Log.Warn("log member does not respond", zap.String("member", s.Member.Name), zap.String("id", s.Member.ID),
+				zap.Bool("voter", s.Member.Voter), zap.Duration("silent", s.Time))
+		}
+	}
+	for _, b := range before.Unresponsive {
+		if _, member := now.Conf.Find(b.Member.ID); member && now.Role == repl.Leader.String() &&
+			!slices.ContainsFunc(now.Unresponsive, func(s repl.Silence) bool { return b.Member.ID == s.Member.ID }) {
+			g.opt.Log.Info("log member responds again", zap.String("member", b.Member.Name), zap.String("id", b.Member.ID))
+		}
+	}
+}
+
 // clearLeadership makes the published status that of a follower without a leader, while storage cannot be used.
 func (g *Group) clearLeadership() {
 	g.mu.Lock()
--- a/internal/repl/core.go
+++ b/internal/repl/core.go
@@ -58,7 +58,8 @@
 		targetVoters   int
 	}
 
-	// Status is a snapshot of a replica's state for operators; FirstIndex is the first log index that is not compacted.
+	// Status is a snapshot of a replica's state for operators; FirstIndex is the first log index that is not compacted, and ConfIndex
+	// the index of the entry that holds Conf. Unresponsive lists the members that a leader has not heard from.
 	Status struct {
 		ID          string `json:"id"`
 		Role        string `json:"role"`
@@ -68,6 +69,15 @@
 		CommitIndex uint64 `json:"commit"`
 		FirstIndex  uint64 `json:"first"`
 		Conf        Conf   `json:"conf"`
+		ConfIndex   uint64 `json:"change"`
+
+		Unresponsive []Silence `json:"silent,omitempty"`
+	}
+
+	// Silence is the time for which a member has not responded.
+	Silence struct {
+		Member Member        `json:"member"`
+		Time   time.Duration `json:"time"`
 	}
 )
 
@@ -134,8 +144,22 @@
 func (c *Core) Status() Status {
 	return Status{
 		ID: c.id, Role: c.role.String(), Term: c.hardState.Term, Leader: c.leader, LastIndex: c.lastIndex(),
-		CommitIndex: c.commitIndex, FirstIndex: c.snap.Index + 1, Conf: c.conf,
+		CommitIndex: c.commitIndex, FirstIndex: c.snap.Index + 1, Conf: c.conf, ConfIndex: c.confIndex, Unresponsive: c.unresponsive(),
+	}
+}
+
+// unresponsive returns the members that have not responded to this leader within MaxElectionTimeout.
+func (c *Core) unresponsive() []Silence {
+	if c.role != Leader {
+		return nil
+	}
+	var out []Silence
+	for _, m := range c.conf.Members {
+		if silent := c.timeSinceResponse(m); silent >= MaxElectionTimeout {
+			out = append(out, Silence{Member: m, Time: silent})
+		}
 	}
+	return out
 }
 
 // IsLeader reports whether the replica is the leader of its term.
