repl: a lost voter is replaced by the end of its loss, whoever leads

Callers saw: after three replaced core machines, two lost at a time at most, the log had no majority for good.

Cause: a successor with another name got a vote only after the leader had had no response of the lost voter for 5 s, more than the 4 s in which a loss ends, and each new leader counted these 5 s from its election. Besides, each of the three changes waited for the next request of the successor.

Change: 2 s of silence are enough, and only if a learner that has caught up is waiting. The leader tells the others in its heartbeats which voters are silent and for how long; a new leader goes on counting, after 0.3 s in which it has listened itself. For voters that were lost together with the leader it counts from its first request for votes. The leader makes all changes by itself, one committed after the other, and removes the voter that has been silent for longest. Found by the tests on the way: a leader that steps down while it handles a response sent further entries, and a learner without room waited 30 s for it.

Earlier builds ignore the new field of the heartbeat and do not send it; a new leader then counts from the first request for votes. Entries in the log are as before.

--- a/internal/repl/append.go
+++ b/internal/repl/append.go
@@ -1,5 +1,7 @@
 package repl
 
+import "time"
+
 // Propose appends a command to the log and returns its index and term. It returns ErrNotLeader on any other replica.
 func (c *Core) Propose(data []byte) (index, term uint64, err error) {
 	if c.role != Leader {
@@ -58,6 +60,7 @@
 	}
 	c.send(Msg{
 		Kind: AppendRequest, To: to, Index: prevIndex, LogTerm: prevTerm, Entries: batch, CommitIndex: c.commitIndex, Round: c.readRound,
+		Silent: c.silentVoters(),
 	})
 	p.nextIndex += uint64(len(batch))
 }
@@ -88,6 +91,7 @@
 
 func (c *Core) handleAppendRequest(m Msg) {
 	c.recordLeaderContact(m)
+	c.recordSilentVoters(m.Silent)
 	if m.Index < c.commitIndex {
 		c.acknowledge(m, c.commitIndex)
 		return
@@ -131,7 +135,7 @@
 	if c.role != Follower || c.leader != m.From {
 		c.becomeFollower(c.hardState.Term, m.From)
 	}
-	c.lastLeaderContact, c.heardLeader = c.now, true
+	c.lastLeader, c.lastLeaderContact, c.heardLeader, c.firstCampaign = m.From, c.now, true, time.Time{}
 	c.resetElectionDeadline(c.now)
 }
 
@@ -162,7 +166,7 @@
 	if p == nil {
 		return
 	}
-	p.lastResponse = c.now
+	p.lastResponse, p.silentSince = c.now, time.Time{}
 	p.readRound = max(p.readRound, m.Round)
 	c.completeReads()
 	if m.Reject {
@@ -178,10 +182,12 @@
 	p.probing = false
 	if m.Index > p.matchIndex {
 		p.matchIndex = m.Index
+		// The log may have been compacted beyond a snapshot that the member has just installed.
+		p.snapshotSentAt = time.Time{}
 		p.nextIndex = max(p.nextIndex, p.matchIndex+1)
 		c.advanceCommit()
 	}
-	if p.nextIndex <= c.lastIndex() {
+	if c.role == Leader && p.nextIndex <= c.lastIndex() {
 		c.sendAppend(m.From, p)
 	}
 }
--- a/internal/repl/core.go
+++ b/internal/repl/core.go
@@ -18,6 +18,8 @@
 		readRound      uint64
 		lastResponse   time.Time
 		snapshotSentAt time.Time
+		// silentSince is the time of the last response to an earlier leader; zero once the member has responded to this one.
+		silentSince time.Time
 	}
 
 	// pendingRead is a quorum read that waits until a majority has acknowledged its round; index is the commit index at its start.
@@ -41,10 +43,13 @@
 		commitIndex       uint64
 		role              Role
 		leader            string
+		lastLeader        string
 		lastLeaderContact time.Time
 		electionDeadline  time.Time
-		nextHeartbeat     time.Time
-		preVoting         bool
+		// firstCampaign is the time of the first request for votes since the last contact to a leader; zero if there was none.
+		firstCampaign time.Time
+		nextHeartbeat time.Time
+		preVoting     bool
 		// heardLeader is set once this replica has led or heard from a leader since its start.
 		heardLeader bool
 		votes       map[string]bool
@@ -52,7 +57,13 @@
 		// readRound is the number of the latest quorum read that this replica started as a leader.
 		readRound    uint64
 		pendingReads []pendingRead
-		output       Output
+		// heartbeatCommit and earlierHeartbeatCommit are the commit indexes at the leader's latest heartbeat and the one before.
+		heartbeatCommit, earlierHeartbeatCommit uint64
+		// lastHeard holds the time of the last message from each replica.
+		lastHeard map[string]time.Time
+		// silentSince holds the times since when voters are silent, as the leader reported them last, by member ID.
+		silentSince map[string]time.Time
+		output      Output
 		// savedHardState is the hard state restored by New or last returned by TakeOutput.
 		savedHardState HardState
 		targetVoters   int
@@ -86,6 +97,7 @@
 	c := &Core{
 		id: id, rng: rng, now: now, hardState: stored.HardState, savedHardState: stored.HardState,
 		snap: stored.Snapshot, conf: stored.Snapshot.Conf, confIndex: stored.Snapshot.Index, commitIndex: stored.Snapshot.Index,
+		lastHeard: map[string]time.Time{},
 	}
 	c.entries = append(c.entries, stored.Entries...)
 	for _, e := range c.entries {
@@ -221,8 +233,10 @@
 		return
 	}
 	if !now.Before(c.nextHeartbeat) {
+		c.earlierHeartbeatCommit, c.heartbeatCommit = c.heartbeatCommit, c.commitIndex
 		c.broadcastAppend()
 	}
+	c.reconcileMembers()
 }
 
 // quorumActive reports whether a majority responded within MaxElectionTimeout.
@@ -246,6 +260,7 @@
 	if m.To != c.id {
 		return
 	}
+	c.lastHeard[m.From] = now
 	switch m.Kind {
 	case PreVoteRequest:
 		c.handlePreVoteRequest(m)
@@ -274,6 +289,7 @@
 		c.handleAppendRequest(m)
 	case AppendResponse:
 		c.handleAppendResponse(m)
+		c.reconcileMembers()
 	case InstallSnapshot:
 		c.handleInstallSnapshot(m)
 	}
@@ -302,6 +318,9 @@
 	if term > c.hardState.Term {
 		c.hardState = HardState{Term: term}
 	}
+	if c.role == Leader {
+		c.recordSilentVoters(c.silentVoters())
+	}
 	c.role = Follower
 	c.leader = leader
 	c.progress, c.votes, c.pendingReads = nil, nil, nil
--- a/internal/repl/elect.go
+++ b/internal/repl/elect.go
@@ -15,6 +15,9 @@
 	c.role = Candidate
 	c.leader = ""
 	c.preVoting = preVote
+	if c.firstCampaign.IsZero() {
+		c.firstCampaign = c.now
+	}
 	c.votes = map[string]bool{c.id: true}
 	term := c.hardState.Term + 1
 	kind := PreVoteRequest
@@ -103,12 +106,20 @@
 	c.progress = map[string]*progress{}
 	c.pendingReads = nil
 	c.trackMembers()
+	c.inheritSilence()
+	c.lastLeader, c.firstCampaign = c.id, time.Time{}
+	c.heartbeatCommit, c.earlierHeartbeatCommit = c.commitIndex, c.commitIndex
 	c.appendEntry(NoOp, nil)
 	c.broadcastAppend()
 }
 
-// trackMembers adds a progress record for each member that has none.
+// trackMembers adds a progress record for each member that has none, and drops those of replicas that are no members any more.
 func (c *Core) trackMembers() {
+	for id := range c.progress {
+		if _, ok := c.conf.Find(id); !ok && id != c.id {
+			delete(c.progress, id)
+		}
+	}
 	for _, m := range c.conf.Members {
 		if c.progress[m.ID] == nil {
 			c.progress[m.ID] = &progress{nextIndex: c.lastIndex() + 1, lastResponse: c.now}
--- a/internal/repl/members.go
+++ b/internal/repl/members.go
@@ -10,20 +10,19 @@
 const (
 	// VoterReplaceTimeout is the time without a response after which a voter may be replaced by a learner; it exceeds the time
 	// that a restart takes.
-	VoterReplaceTimeout = 5 * time.Second
+	VoterReplaceTimeout = 2 * time.Second
+	// minObservation is the time without a response after which a leader tells the others that a voter is silent, and for which a new
+	// leader waits for a response of a voter that was silent before its election.
+	minObservation = 2 * HeartbeatInterval
 	// learnerRemoveTimeout is the time without a response after which a learner may be removed when another one is added.
 	learnerRemoveTimeout = 30 * time.Second
 )
 
 var errTooManyMembers = errors.New("too many members")
 
-// Join adds a replica with a new data folder, one membership change per call, and reports whether it is a voter.
-//
-// The steps are: add it as a learner; once it holds all committed entries, remove
-// the voter of the same name, whose data folder is lost, or an unresponsive voter if
-// the target number of voters is reached; then promote the learner to voter.
-// A step starts only after the previous change is committed; until then Join returns
-// ErrConfChangePending. On a replica that does not lead it returns ErrNotLeader.
+// Join adds a replica with a new data folder as a learner and reports whether it is a voter. It returns ErrConfChangePending until
+// an earlier membership change is committed, and ErrNotLeader on a replica that does not lead. The leader makes the further changes
+// itself, as soon as the learner has caught up; see nextConf.
 func (c *Core) Join(m Member) (voter bool, err error) {
 	if c.role != Leader {
 		return false, ErrNotLeader
@@ -32,51 +31,81 @@
 	switch {
 	case found && current.Voter:
 		return true, nil
-	case c.confIndex > c.commitIndex || !c.currentTermCommitted():
+	case !c.mayChangeConf():
 		return false, ErrConfChangePending
 	case !found:
 		return false, c.addLearner(m)
-	case c.progress[m.ID].matchIndex < c.commitIndex:
-		return false, nil
 	}
-	if old, ok := c.voterNamed(current.Name); ok {
-		return false, c.proposeConf(c.conf.without(old.ID))
+	c.reconcileMembers()
+	return false, nil
+}
+
+// SetTargetVoters sets the number of voters from which on a learner is promoted only in place of another voter; 0 means no limit.
+func (c *Core) SetTargetVoters(voters int) {
+	c.targetVoters = voters
+}
+
+// mayChangeConf reports whether the next membership change may be proposed: the previous one and an entry of the current term must be
+// committed.
+func (c *Core) mayChangeConf() bool {
+	t, _ := c.termAt(c.commitIndex)
+	return c.confIndex <= c.commitIndex && t == c.hardState.Term
+}
+
+// reconcileMembers proposes the membership change that is due, if any.
+func (c *Core) reconcileMembers() {
+	if c.role != Leader || !c.mayChangeConf() {
+		return
 	}
-	if c.targetVoters > 0 && c.conf.NumVoters() >= c.targetVoters {
-		if old, ok := c.replaceableVoter(); ok {
-			return false, c.proposeConf(c.conf.without(old.ID))
-		}
-		return false, nil
+	if next, ok := c.nextConf(); ok {
+		// The encoding of a Conf does not fail.
+		_ = c.proposeConf(next)
 	}
-	newConf := c.conf.without(m.ID)
-	current.Voter = true
-	newConf.Members = append(newConf.Members, current)
-	return false, c.proposeConf(newConf)
 }
 
-// addLearner adds a non-voting member. It replaces an earlier learner of the same name and drops unresponsive learners.
-func (c *Core) addLearner(m Member) error {
-	m.Voter = false
-	newConf := Conf{}
-	for _, other := range c.conf.Members {
-		if other.Voter || other.Name != m.Name && c.timeSinceResponse(other) < learnerRemoveTimeout {
-			newConf.Members = append(newConf.Members, other)
+// nextConf returns the configuration that the leader should propose next, and false if the present one stands. Each differs by one
+// member from the one before, so that their majorities overlap.
+//
+// A voter that is lost is removed before its successor is promoted: it cannot
+// vote, so a configuration that counts it tolerates one loss less.
+func (c *Core) nextConf() (Conf, bool) {
+	learners := c.readyLearners()
+	if len(learners) == 0 {
+		return Conf{}, false
+	}
+	for _, m := range learners {
+		if old, ok := c.voterNamed(m.Name); ok {
+			return c.conf.without(old.ID), true
 		}
 	}
-	if len(newConf.Members) >= maxMembers {
-		return errTooManyMembers
+	if c.targetVoters == 0 || c.conf.NumVoters() < c.targetVoters {
+		return c.conf.promote(learners[0].ID), true
 	}
-	newConf.Members = append(newConf.Members, m)
-	return c.proposeConf(newConf)
+	lost, isLost := c.replaceableVoter()
+	return c.conf.without(lost.ID), isLost
 }
 
-// SetTargetVoters sets the number of voters from which on Join promotes a learner only in place of another voter; 0 means no
-// limit.
-func (c *Core) SetTargetVoters(voters int) {
-	c.targetVoters = voters
+// addLearner adds a non-voting member. It replaces an earlier learner of the same name and drops unresponsive learners, sooner if there
+// is no room for another member.
+func (c *Core) addLearner(m Member) error {
+	m.Voter = false
+	for _, timeout := range []time.Duration{learnerRemoveTimeout, VoterReplaceTimeout} {
+		newConf := Conf{}
+		for _, other := range c.conf.Members {
+			if other.Voter || other.Name != m.Name && c.timeSinceResponse(other) < timeout {
+				newConf.Members = append(newConf.Members, other)
+			}
+		}
+		if len(newConf.Members) < maxMembers {
+			newConf.Members = append(newConf.Members, m)
+			return c.proposeConf(newConf)
+		}
+	}
+	return errTooManyMembers
 }
 
-// timeSinceResponse returns the time since a member last responded to this leader; 0 for the leader itself.
+// timeSinceResponse returns the time since a member last responded to this leader, or since the election if it has not yet; 0 for the
+// leader itself.
 func (c *Core) timeSinceResponse(m Member) time.Duration {
 	if m.ID == c.id {
 		return 0
@@ -84,19 +113,89 @@
 	return c.now.Sub(c.progress[m.ID].lastResponse)
 }
 
-// replaceableVoter returns a voter that has not responded within VoterReplaceTimeout, provided that a majority of the other
-// voters responds.
-func (c *Core) replaceableVoter() (Member, bool) {
+// silence returns the time since a member last responded to this leader or, as far as known, to an earlier one.
+func (c *Core) silence(m Member) time.Duration {
+	silence := c.timeSinceResponse(m)
+	if p := c.progress[m.ID]; p != nil && !p.silentSince.IsZero() {
+		silence = max(silence, c.now.Sub(p.silentSince))
+	}
+	return silence
+}
+
+// silentVoters returns the silence of each voter that has not responded for minObservation, by member ID, or nil if all have.
+func (c *Core) silentVoters() map[string]time.Duration {
+	var out map[string]time.Duration
 	for _, m := range c.conf.Members {
-		if !m.Voter || c.timeSinceResponse(m) < VoterReplaceTimeout {
+		silence := c.silence(m)
+		if !m.Voter || silence < minObservation {
 			continue
 		}
-		others := c.conf.without(m.ID)
-		if others.majority(func(other Member) bool { return c.timeSinceResponse(other) < MaxElectionTimeout }) {
-			return m, true
+		if out == nil {
+			out = map[string]time.Duration{}
 		}
+		out[m.ID] = silence
+	}
+	return out
+}
+
+// recordSilentVoters records the silent voters that the leader reports. They are counted on if this replica becomes the leader, or
+// each election would delay their replacement anew.
+func (c *Core) recordSilentVoters(silent map[string]time.Duration) {
+	c.silentSince = nil
+	for id, silence := range silent {
+		if c.silentSince == nil {
+			c.silentSince = map[string]time.Time{}
+		}
+		c.silentSince[id] = c.now.Add(-silence)
+	}
+}
+
+// inheritSilence makes a new leader count the silence of voters before its election: since the time that the earlier leader reported,
+// the last contact to that leader, or else the first request for votes since then. Voters that granted their vote are not silent.
+func (c *Core) inheritSilence() {
+	for id, p := range c.progress {
+		since, reported := c.silentSince[id]
+		switch {
+		case c.votes[id]:
+			continue
+		case reported:
+		case id == c.lastLeader:
+			since = c.lastLeaderContact
+		default:
+			since = c.firstCampaign
+		}
+		if heard := c.lastHeard[id]; heard.After(since) {
+			since = heard
+		}
+		p.silentSince = since
 	}
-	return Member{}, false
+}
+
+// readyLearners returns the learners that respond and have caught up: they hold what was committed at the heartbeat before the latest
+// one. What is committed at the moment would be too much to ask, as its acknowledgement is under way.
+func (c *Core) readyLearners() []Member {
+	var out []Member
+	for _, m := range c.conf.Members {
+		match := c.progress[m.ID].matchIndex
+		if !m.Voter && c.timeSinceResponse(m) < minObservation && match > 0 && match >= c.earlierHeartbeatCommit {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// replaceableVoter returns the voter that has been silent for longest, provided that it is so for VoterReplaceTimeout and that a
+// majority of the other voters responds.
+func (c *Core) replaceableVoter() (Member, bool) {
+	var lost Member
+	longest := VoterReplaceTimeout
+	for _, m := range c.conf.Members {
+		if silence := c.silence(m); m.Voter && c.timeSinceResponse(m) >= minObservation && silence >= longest {
+			lost, longest = m, silence
+		}
+	}
+	responds := func(m Member) bool { return c.timeSinceResponse(m) < MaxElectionTimeout }
+	return lost, lost.ID != "" && c.conf.without(lost.ID).majority(responds)
 }
 
 func (c *Core) voterNamed(name string) (Member, bool) {
@@ -108,19 +207,15 @@
 	return Member{}, false
 }
 
-// currentTermCommitted reports whether an entry of the current term is committed; membership changes are unsafe before that.
-func (c *Core) currentTermCommitted() bool {
-	t, _ := c.termAt(c.commitIndex)
-	return t == c.hardState.Term
-}
-
 func (c *Core) proposeConf(next Conf) error {
 	data, err := cbor.Marshal(next)
 	if err != nil {
 		return err
 	}
 	c.appendEntry(ConfChange, data)
-	c.broadcastAppend()
+	if c.role == Leader {
+		c.broadcastAppend()
+	}
 	return nil
 }
 
--- a/internal/repl/types.go
+++ b/internal/repl/types.go
@@ -131,6 +131,9 @@
 		Reject   bool      `json:"x,omitempty"`
 		Entries  []Entry   `json:"e,omitempty"`
 		Snapshot *Snapshot `json:"s,omitempty"`
+		// Silent holds, in an AppendRequest, the time since the last response of each voter that does not respond, by member ID.
+		// Builds that do not know it leave it out and ignore it.
+		Silent map[string]time.Duration `json:"a,omitempty"`
 	}
 
 	// Stored is the persistent state that a replica reads from its data folder.
@@ -168,6 +171,11 @@
 	case m.Kind == InstallSnapshot && m.Snapshot == nil:
 		return errors.New("message: snapshot is missing")
 	}
+	for id, silence := range m.Silent {
+		if silence < 0 {
+			return fmt.Errorf("message: member %s is silent for %v", id, silence)
+		}
+	}
 	for i, e := range m.Entries {
 		if e.Index != m.Index+1+uint64(i) {
 			return fmt.Errorf("message: entry %d stands at index %d", m.Index+1+uint64(i), e.Index)
@@ -247,6 +255,15 @@
 	return out
 }
 
+// promote returns a copy of the configuration in which the given learner is a voter, last in order.
+func (c Conf) promote(id string) Conf {
+	m, _ := c.Find(id)
+	m.Voter = true
+	out := c.without(id)
+	out.Members = append(out.Members, m)
+	return out
+}
+
 // String returns the role's name in lower case.
 func (r Role) String() string {
 	return [...]string{"follower", "candidate", "leader"}[r]
