group: lost replicas do not delay one that joins

Callers saw: nothing by itself; on machines that do not answer at all, a successor took 1 s and more for each step to its vote, of the 4 s that it has.

Cause: each attempt to join waited until all known replicas had answered the first question, those that are lost too (1 s), and then asked one leader only, which may be the lost one (1 s again). A replica that had lost its place while it was paused looked after it every 2 s.

Change: the first replica that names a leader is enough; each leader named is asked, and the attempt ends 0.5 s after the first one was named. A running voter looks after its place every second. Founding a cluster still needs all answers.

--- a/internal/group/wire.go
+++ b/internal/group/wire.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -21,9 +20,11 @@
 	// enrollInterval is the time between two attempts to become a voter.
 	enrollInterval = 300 * time.Millisecond
 	// enrolledCheckInterval is the time between two checks of a voter whether it still is one.
-	enrolledCheckInterval = 2 * time.Second
+	enrolledCheckInterval = time.Second
 	// requestTimeout limits a hello or join request.
 	requestTimeout = time.Second
+	// joinTimeout limits an attempt to become a voter once a leader is named.
+	joinTimeout = 500 * time.Millisecond
 )
 
 type (
@@ -208,23 +209,38 @@
 	return ok && m.Voter && status.Leader != ""
 }
 
-// enrollOnce takes one step towards being a voter.
+// enrollOnce takes one step towards being a voter. It asks the other replicas for the leader, and each leader that they name to add
+// this one; a replica that is lost, or names one that is lost, delays nothing.
 func (g *Group) enrollOnce(ctx context.Context) {
-	self := g.self()
-	replies, allAnswered := g.hello(ctx, self)
-	for _, r := range replies {
+	ctx, cancel := context.WithTimeout(ctx, 2*requestTimeout)
+	defer cancel()
+	self, addrs := g.self(), g.peerAddrs()
+	var joins conc.WaitGroup
+	defer joins.Wait()
+	asked := map[netip.AddrPort]bool{}
+	var replies []Reply
+	for r := range g.hello(ctx, addrs, self) {
+		replies = append(replies, r)
 		if r.Cluster == "" || g.Cluster() != "" && r.Cluster != g.Cluster() {
 			continue
 		}
 		if g.Cluster() == "" {
 			g.enterCluster(ctx, r.Cluster, r.FoundingConf)
 		}
-		if r.Leader.IsValid() && r.Leader != self.Addr {
-			g.requestJoin(ctx, r.Leader, self)
-			return
+		if !r.Leader.IsValid() || r.Leader == self.Addr || asked[r.Leader] {
+			continue
+		}
+		if len(asked) == 0 {
+			time.AfterFunc(joinTimeout, cancel)
 		}
+		asked[r.Leader] = true
+		joins.Go(func() {
+			if g.requestJoin(ctx, r.Leader, self) {
+				cancel()
+			}
+		})
 	}
-	if allAnswered && g.mayFound.Load() && g.Cluster() == "" && g.isFounder(replies) {
+	if len(replies) == len(addrs) && g.mayFound.Load() && g.Cluster() == "" && g.isFounder(replies) {
 		conf := repl.Conf{Members: []repl.Member{self}}
 		for _, r := range replies {
 			conf.Members = append(conf.Members, r.Self)
@@ -233,10 +249,10 @@
 	}
 }
 
-// hello asks the other known replicas for their identity and cluster; allAnswered reports whether every one of them responded.
-func (g *Group) hello(ctx context.Context, self repl.Member) (replies []Reply, allAnswered bool) {
-	addrs := g.peerAddrs()
-	var mu sync.Mutex
+// hello asks the replicas at addrs for their identity and cluster. The channel is closed once all have answered or failed, or ctx is
+// done.
+func (g *Group) hello(ctx context.Context, addrs []netip.AddrPort, self repl.Member) <-chan Reply {
+	replies := make(chan Reply, len(addrs))
 	var wg conc.WaitGroup
 	for _, addr := range addrs {
 		wg.Go(func() {
@@ -245,14 +261,15 @@
 				g.opt.Log.Debug("hello request to a replica failed", zap.Error(err))
 				return
 			}
-			mu.Lock()
-			replies = append(replies, r)
-			mu.Unlock()
 			g.addKnownReplica(r.Self)
+			replies <- r
 		})
 	}
-	wg.Wait()
-	return replies, len(replies) == len(addrs)
+	g.wg.Go(func() {
+		wg.Wait()
+		close(replies)
+	})
+	return replies
 }
 
 // peerAddrs returns the addresses of the other replicas: those of the settings, the seeds and the members of the log.
@@ -321,16 +338,17 @@
 	}
 }
 
-// requestJoin asks the leader to add this replica to the cluster.
-func (g *Group) requestJoin(ctx context.Context, leader netip.AddrPort, self repl.Member) {
+// requestJoin asks the leader to add this replica to the cluster and reports whether it has answered.
+func (g *Group) requestJoin(ctx context.Context, leader netip.AddrPort, self repl.Member) bool {
 	var r Reply
 	p := Packet{Cluster: g.Cluster(), Join: &self}
 	if err := g.opt.Links.Call(ctx, leader, peer.Step, requestTimeout, p, &r); err != nil {
 		g.opt.Log.Debug("join not yet possible", zap.Error(err))
-		return
+		return false
 	}
 	// hello may not have asked the leader, and this replica must respond to it before its own configuration lists the leader.
 	g.addKnownReplica(r.Self)
+	return true
 }
 
 // addKnownReplica records a replica that responded, so that messages can be sent to it before the configuration lists it.
