--- a/internal/group/join_test.go
+++ b/internal/group/join_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -82,3 +84,53 @@
 	})
 }
 
+// throttle passes connections on to a server, no more than rate bytes a second in its direction, and returns the address to connect to.
+func throttle(t *testing.T, server netip.AddrPort, rate int) netip.AddrPort {
+	l, addr := listen(t)
+	go func() {
+		for {
+			caller, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conn, err := net.Dial("tcp", server.String())
+			if err != nil {
+				_ = caller.Close()
+				continue
+			}
+			go func() {
+				_, _ = io.Copy(caller, conn)
+				_ = caller.Close()
+			}()
+			go func() {
+				defer func() { _ = conn.Close() }()
+				const slices = 100
+				for {
+					if _, err := io.CopyN(conn, caller, int64(rate/slices)); err != nil {
+						return
+					}
+					time.Sleep(time.Second / slices)
+				}
+			}()
+		}
+	}()
+	return addr
+}
+
+// TestSnapshotOverSlowLink guards against a learner that never votes as its snapshot takes longer than other messages may.
+func TestSnapshotOverSlowLink(t *testing.T) {
+	Convey("A replica that needs a snapshot of 10 MB over a link of 10 MB/s becomes a voter", t, func() {
+		l, addr := listen(t)
+		leader := serveReplica(t, "a", l, addr)
+		awaitCond(time.Minute, func() bool { return leader.Status().Role == repl.Leader.String() })
+		const commands, size = 40, 256 << 10
+		for i := range commands {
+			_, err := leader.Propose(context.Background(), fmt.Appendf(nil, "%0*d", size, i))
+			So(err, ShouldBeNil)
+		}
+		So(leader.Status().FirstIndex, ShouldBeGreaterThan, 1)
+		l, own := listen(t)
+		serveReplica(t, "b", l, throttle(t, own, 10<<20), addr)
+		So(awaitCond(10*time.Second, func() bool { return isMember(leader, "b", true) }), ShouldBeLessThan, 4*time.Second)
+	})
+}
--- a/internal/group/wire.go
+++ b/internal/group/wire.go
@@ -25,6 +25,8 @@
 	requestTimeout = time.Second
 	// joinTimeout limits an attempt to become a voter once a leader is named.
 	joinTimeout = 500 * time.Millisecond
+	// snapshotTimeout limits a call that carries a snapshot; these take more round trips than others.
+	snapshotTimeout = 2 * time.Second
 )
 
 type (
@@ -183,8 +185,12 @@
 			p.Msgs = append(p.Msgs, <-ch)
 		}
 		p.Cluster = g.Cluster()
+		timeout := sendTimeout
+		if slices.ContainsFunc(p.Msgs, func(m repl.Msg) bool { return m.Snapshot != nil }) {
+			timeout = snapshotTimeout
+		}
 		var r Reply
-		_ = g.opt.Links.Call(g.ctx, to.Addr, peer.Step, sendTimeout, p, &r)
+		_ = g.opt.Links.Call(g.ctx, to.Addr, peer.Step, timeout, p, &r)
 	}
 }
 
