repl, group: a replica that stops hands its vote to a learner first

A machine that was replaced in order left with its vote: the successor, started before, got it only after the time for lost voters, and three others of five could be lost at once by then.

Cause: a stop by SIGTERM was for the log the same as a crash.

Change: on SIGTERM a voter asks the leader to be replaced, if there is a learner, and stops once that one votes, after 2 s at most. The learner is promoted first and the old voter removed then: it still votes, so six voters with four of them needed tolerate two losses, and four voters would tolerate one. A leader replaces itself in the same way. Without a learner nothing changes, nor is a message sent.

An earlier build ignores the request, and the replica stops at once as before.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -108,6 +108,8 @@
 		onLeaderChange func()
 		// mayFound is false on a replica that may only join a cluster.
 		mayFound atomic.Bool
+		// leaving is set once Leave was called.
+		leaving atomic.Bool
 		// committedConf is the index of the last membership change that was logged as committed.
 		committedConf uint64
 		// failedAt is the time of the last storage failure or failed attempt to reopen; zero while storage works.
--- a/internal/group/wire.go
+++ b/internal/group/wire.go
@@ -21,31 +21,36 @@
 	enrollInterval = 300 * time.Millisecond
 	// enrolledCheckInterval is the time between two checks of a voter whether it still is one.
 	enrolledCheckInterval = time.Second
-	// requestTimeout limits a hello or join request.
+	// requestTimeout limits a hello, join or leave request.
 	requestTimeout = time.Second
 	// joinTimeout limits an attempt to become a voter once a leader is named.
 	joinTimeout = 500 * time.Millisecond
+	// leaveInterval is the time between two requests to leave.
+	leaveInterval = 100 * time.Millisecond
 	// snapshotTimeout limits a call that carries a snapshot; these take more round trips than others.
 	snapshotTimeout = 2 * time.Second
 )
 
 type (
-	// Packet is a request from one replica to another: consensus messages, a hello, or a request to join.
+	// Packet is a request from one replica to another: consensus messages, a hello, a request to join, or one to leave by the member with
+	// that ID. Builds that do not know Leave ignore it.
 	Packet struct {
 		Cluster string       `json:"cluster,omitempty"`
 		Msgs    []repl.Msg   `json:"msgs,omitempty"`
 		Hello   *repl.Member `json:"hello,omitempty"`
 		Join    *repl.Member `json:"join,omitempty"`
+		Leave   string       `json:"leave,omitempty"`
 	}
 
 	// Reply identifies the replica that responds, its cluster and the leader that it knows; Voter tells a replica that asked to join
-	// whether it is a voter.
+	// whether it is a voter, and Handover one that asked to leave whether it should go on until another one has its vote.
 	Reply struct {
 		Self         repl.Member    `json:"self"`
 		Cluster      string         `json:"cluster,omitempty"`
 		FoundingConf repl.Conf      `json:"founding"`
 		Leader       netip.AddrPort `json:"leader"`
 		Voter        bool           `json:"voter,omitempty"`
+		Handover     bool           `json:"handover,omitempty"`
 	}
 )
 
@@ -63,7 +68,7 @@
 }
 
 // Receive handles a packet from another replica. Messages are dropped if the inbox is full or the cluster is another one.
-// It returns an error only for a request to join that failed.
+// It returns an error only for a request to join or to leave that failed.
 func (g *Group) Receive(ctx context.Context, p Packet) (Reply, error) {
 	ident := g.identity()
 	if p.Cluster == ident.Cluster && p.Cluster != "" {
@@ -75,12 +80,17 @@
 		}
 	}
 	reply := g.newReply()
-	if p.Join != nil && p.Cluster == ident.Cluster {
-		voter, err := g.joinStep(ctx, *p.Join)
-		reply.Voter = voter
-		return reply, err
+	if p.Cluster != ident.Cluster {
+		return reply, nil
 	}
-	return reply, nil
+	var err error
+	switch {
+	case p.Join != nil:
+		reply.Voter, err = g.changeMember(ctx, func(core *repl.Core) (bool, error) { return core.Join(*p.Join) })
+	case p.Leave != "":
+		reply.Handover, err = g.changeMember(ctx, func(core *repl.Core) (bool, error) { return core.Leave(p.Leave) })
+	}
+	return reply, err
 }
 
 func (g *Group) newReply() Reply {
@@ -96,20 +106,20 @@
 	return repl.Member{ID: g.identity().ID, Name: g.opt.Name, Zone: g.opt.Zone, Addr: g.opt.SelfAddr, Voter: true}
 }
 
-// joinStep makes the next membership change that brings m closer to being a voter, and reports whether it is one.
-func (g *Group) joinStep(ctx context.Context, m repl.Member) (bool, error) {
-	type joinResult struct {
-		voter bool
+// changeMember runs a call of Join or Leave on the replica's goroutine and returns its result.
+func (g *Group) changeMember(ctx context.Context, call func(*repl.Core) (bool, error)) (bool, error) {
+	type callResult struct {
+		value bool
 		err   error
 	}
-	reply := make(chan joinResult, 1)
+	reply := make(chan callResult, 1)
 	err := g.submit(ctx, func(time.Time) {
 		if g.core == nil {
-			reply <- joinResult{err: repl.ErrNotLeader}
+			reply <- callResult{err: repl.ErrNotLeader}
 			return
 		}
-		voter, err := g.core.Join(m)
-		reply <- joinResult{voter, err}
+		value, err := call(g.core)
+		reply <- callResult{value, err}
 	})
 	if err != nil {
 		return false, err
@@ -118,7 +128,7 @@
 	if err != nil {
 		return false, err
 	}
-	return res.voter, res.err
+	return res.value, res.err
 }
 
 // sendMessages queues messages for their receivers. Messages to a full outbox are dropped; the protocol tolerates message loss.
@@ -196,7 +206,7 @@
 
 // enroll founds or joins a cluster, and requests to join whenever this replica is not a voter.
 func (g *Group) enroll(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !g.leaving.Load() {
 		wait := enrollInterval
 		if g.enrolled() {
 			wait = enrolledCheckInterval
@@ -207,6 +217,46 @@
 	}
 }
 
+// Leave prepares the replica for its end: if a learner can take its place, Leave returns once that one votes instead, or ctx ends. The
+// replica does not join again afterwards.
+func (g *Group) Leave(ctx context.Context) {
+	g.leaving.Store(true)
+	for ctx.Err() == nil && g.replaceable() {
+		handover, err := g.requestLeave(ctx)
+		if err == nil && !handover {
+			return
+		}
+		pace.Sleep(ctx, leaveInterval)
+	}
+}
+
+// replaceable reports whether this replica is a voter whose place another member may take, or leads until the others know that it is a
+// voter no more.
+func (g *Group) replaceable() bool {
+	status := g.Status()
+	self, ok := status.Conf.Find(g.self().ID)
+	if !ok || !self.Voter {
+		return status.Role == repl.Leader.String() && status.ConfIndex > status.CommitIndex
+	}
+	learners := len(status.Conf.Members) - status.Conf.NumVoters()
+	return learners > 0 || status.Conf.NumVoters() > g.opt.TargetVoters
+}
+
+// requestLeave asks the leader to replace this replica and reports whether it is to wait for that.
+func (g *Group) requestLeave(ctx context.Context) (handover bool, err error) {
+	id := g.self().ID
+	leader, ok := g.Leader()
+	switch {
+	case !ok:
+		return false, repl.ErrNotLeader
+	case leader.ID == id:
+		return g.changeMember(ctx, func(core *repl.Core) (bool, error) { return core.Leave(id) })
+	}
+	var r Reply
+	err = g.opt.Links.Call(ctx, leader.Addr, peer.Step, requestTimeout, Packet{Cluster: g.Cluster(), Leave: id}, &r)
+	return r.Handover, err
+}
+
 // enrolled reports whether this replica is a voter and knows a leader. Without a leader it may have been removed from the
 // configuration without being told.
 func (g *Group) enrolled() bool {
--- a/internal/repl/core.go
+++ b/internal/repl/core.go
@@ -20,6 +20,8 @@
 		snapshotSentAt time.Time
 		// silentSince is the time of the last response to an earlier leader; zero once the member has responded to this one.
 		silentSince time.Time
+		// leavingUntil is the time until which the member is known to be about to stop.
+		leavingUntil time.Time
 	}
 
 	// pendingRead is a quorum read that waits until a majority has acknowledged its round; index is the commit index at its start.
--- a/internal/repl/members.go
+++ b/internal/repl/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,6 +15,8 @@
 	// minObservation is the time without a response after which a leader tells the others that a voter is silent, and for which a new
 	// leader waits for a response of a voter that was silent before its election.
 	minObservation = 2 * HeartbeatInterval
+	// leaveTimeout is the time after which a call of Leave that is not repeated is void: the voter may have started again.
+	leaveTimeout = time.Second
 	// learnerRemoveTimeout is the time without a response after which a learner may be removed when another one is added.
 	learnerRemoveTimeout = 30 * time.Second
 )
@@ -40,6 +43,27 @@
 	return false, nil
 }
 
+// Leave notes that a voter is about to stop and reports whether a learner is taking its place; until then the voter should go on and
+// repeat the call within a second. It returns ErrNotLeader on a replica that does not lead.
+func (c *Core) Leave(id string) (handover bool, err error) {
+	if c.role != Leader {
+		return false, ErrNotLeader
+	}
+	m, ok := c.conf.Find(id)
+	switch {
+	case c.confIndex > c.commitIndex:
+		return true, nil
+	case !ok || !m.Voter || c.targetVoters == 0:
+		return false, nil
+	}
+	if !slices.ContainsFunc(c.conf.Members, c.isLiveLearner) && c.conf.NumVoters() <= c.targetVoters {
+		return false, nil
+	}
+	c.progress[id].leavingUntil = c.now.Add(leaveTimeout)
+	c.reconcileMembers()
+	return true, nil
+}
+
 // SetTargetVoters sets the number of voters from which on a learner is promoted only in place of another voter; 0 means no limit.
 func (c *Core) SetTargetVoters(voters int) {
 	c.targetVoters = voters
@@ -54,7 +78,7 @@
 
 // reconcileMembers proposes the membership change that is due, if any.
 func (c *Core) reconcileMembers() {
-	if c.role != Leader || !c.mayChangeConf() {
+	if c.role != Leader || c.hasTargetMembers() || !c.mayChangeConf() {
 		return
 	}
 	if next, ok := c.nextConf(); ok {
@@ -63,12 +87,30 @@
 	}
 }
 
+// hasTargetMembers reports whether there are no learners and no surplus voters, so that no change can be due.
+func (c *Core) hasTargetMembers() bool {
+	voters := c.conf.NumVoters()
+	return voters == len(c.conf.Members) && (c.targetVoters == 0 || voters <= c.targetVoters)
+}
+
 // nextConf returns the configuration that the leader should propose next, and false if the present one stands. Each differs by one
 // member from the one before, so that their majorities overlap.
 //
 // A voter that is lost is removed before its successor is promoted: it cannot
-// vote, so a configuration that counts it tolerates one loss less.
+// vote, so a configuration that counts it tolerates one loss less. A voter that
+// leaves in order still votes, so its successor is promoted first.
 func (c *Core) nextConf() (Conf, bool) {
+	leaving, isLeaving := c.leavingVoter()
+	lost, isLost := c.replaceableVoter()
+	if c.targetVoters > 0 && c.conf.NumVoters() > c.targetVoters {
+		switch {
+		case isLeaving:
+			return c.conf.without(leaving.ID), true
+		case isLost:
+			return c.conf.without(lost.ID), true
+		}
+		return Conf{}, false
+	}
 	learners := c.readyLearners()
 	if len(learners) == 0 {
 		return Conf{}, false
@@ -78,11 +120,13 @@
 			return c.conf.without(old.ID), true
 		}
 	}
-	if c.targetVoters == 0 || c.conf.NumVoters() < c.targetVoters {
+	switch {
+	case c.targetVoters == 0 || c.conf.NumVoters() < c.targetVoters || isLeaving:
 		return c.conf.promote(learners[0].ID), true
+	case isLost:
+		return c.conf.without(lost.ID), true
 	}
-	lost, isLost := c.replaceableVoter()
-	return c.conf.without(lost.ID), isLost
+	return Conf{}, false
 }
 
 // addLearner adds a non-voting member. It replaces an earlier learner of the same name and drops unresponsive learners, sooner if there
@@ -171,6 +215,10 @@
 	}
 }
 
+func (c *Core) isLiveLearner(m Member) bool {
+	return !m.Voter && c.timeSinceResponse(m) < MaxElectionTimeout
+}
+
 // readyLearners returns the learners that respond and have caught up: they hold what was committed at the heartbeat before the latest
 // one. What is committed at the moment would be too much to ask, as its acknowledgement is under way.
 func (c *Core) readyLearners() []Member {
@@ -184,6 +232,15 @@
 	return out
 }
 
+func (c *Core) leavingVoter() (Member, bool) {
+	for _, m := range c.conf.Members {
+		if m.Voter && c.now.Before(c.progress[m.ID].leavingUntil) {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 // replaceableVoter returns the voter that has been silent for longest, provided that it is so for VoterReplaceTimeout and that a
 // majority of the other voters responds.
 func (c *Core) replaceableVoter() (Member, bool) {
--- a/internal/repl/replace_test.go
+++ b/internal/repl/replace_test.go
@@ -18,6 +18,9 @@
 	joinInterval = 300 * time.Millisecond
 	// memberCheckInterval is the time between two checks of a running voter whether it still is one.
 	memberCheckInterval = time.Second
+	// leaveInterval and leaveLimit are the time between two requests to leave and the time for which a stopping machine repeats them.
+	leaveInterval = 100 * time.Millisecond
+	leaveLimit    = 2 * time.Second
 	// timeStep is the step of the virtual clock.
 	timeStep = 5 * time.Millisecond
 )
@@ -56,6 +59,8 @@
 		thawAt    time.Time
 		healAt    time.Time
 		joinAt    time.Time
+		leaveAt   time.Time // when it begins to leave
+		leaving   bool
 	}
 
 	delayed struct {
@@ -122,7 +127,7 @@
 		if !m.core.NextTick().After(o.now) || m.core.IsLeader() {
 			o.tick(m.replica)
 		}
-		if !o.now.Before(m.joinAt) {
+		if !o.now.Before(m.joinAt) && !m.leaving {
 			o.enroll(m)
 		}
 		o.transmit()
@@ -159,6 +164,9 @@
 		o.note("%s is connected again", m.member.Name)
 		delete(o.isolated, m.member.Name)
 	}
+	if due(&m.leaveAt) {
+		o.leave(m)
+	}
 	if m.lost && !m.lostTo.IsZero() && !o.now.Before(m.lostTo) {
 		m.lost = false
 	}
@@ -253,6 +261,29 @@
 	}
 }
 
+// leave asks the leader for a successor and stops the machine for good once there is one, or none is to be had.
+func (o *outage) leave(m *machine) {
+	m.leaving = true
+	end := o.now.Add(leaveLimit)
+	for o.now.Before(end) {
+		handover := false
+		for _, leader := range o.leaders(m) {
+			more, err := leader.core.Leave(m.member.ID)
+			o.handleOutput(leader.replica, false)
+			handover = handover || more || err != nil
+		}
+		if self, ok := m.core.conf.Find(m.member.ID); (!ok || !self.Voter) && m.core.confIndex <= m.core.commitIndex {
+			handover = false
+		}
+		if !handover && len(o.leaders(m)) > 0 {
+			break
+		}
+		o.run(leaveInterval)
+	}
+	o.note("%s stops for good", m.member.Name)
+	m.running, m.gone = false, true
+}
+
 // numLost returns the number of machines that count as lost.
 func (o *outage) numLost() int {
 	n := 0
@@ -320,6 +351,16 @@
 	o.expect(deadline{at: o.now.Add(delay + catchUp), successor: m, goneID: oldID})
 }
 
+// replacePlanned starts an empty machine, and stops the one whose place it takes after a delay.
+func (o *outage) replacePlanned(m *machine, delay time.Duration) {
+	successor := o.addMachine(0)
+	o.note("%s is to replace %s, leader %v", successor.member.Name, m.member.Name, m.core.IsLeader())
+	end := o.now.Add(max(catchUp, delay+leaveLimit) + timeStep)
+	o.lose(m, end)
+	m.leaveAt = o.now.Add(delay)
+	o.expect(deadline{at: end, successor: successor, goneID: m.member.ID})
+}
+
 // restart stops a machine and starts it again with its disk after a time.
 func (o *outage) restart(m *machine, after time.Duration) {
 	o.note("%s stops for %v, leader %v", m.member.Name, after, m.core.IsLeader())
@@ -344,7 +385,7 @@
 func (o *outage) restartAll() {
 	o.note("all machines stop")
 	for _, m := range o.machines {
-		if !m.running || m.gone {
+		if !m.running || m.gone || !m.leaveAt.IsZero() {
 			continue
 		}
 		m.running = false
@@ -433,16 +474,18 @@
 		return
 	}
 	delay := time.Duration(o.rng.IntN(2000)) * time.Millisecond
-	switch o.rng.IntN(8) {
+	switch o.rng.IntN(9) {
 	case 0, 1, 2:
 		o.replaceLost(m, delay)
 	case 3, 4:
 		o.loseDiskOf(m, max(delay, timeStep))
 	case 5:
-		o.restart(m, delay/2+100*time.Millisecond)
+		o.replacePlanned(m, 3*delay)
 	case 6:
-		o.freeze(m, 2*delay)
+		o.restart(m, delay/2+100*time.Millisecond)
 	case 7:
+		o.freeze(m, 2*delay)
+	case 8:
 		o.cutOff(m, 2*delay)
 	}
 }
@@ -565,6 +608,31 @@
 	}
 }
 
+// TestLossesDuringHandover guards against a planned replacement that leaves no majority if as many others as may be lost at once are lost
+// at any moment of it.
+func TestLossesDuringHandover(t *testing.T) {
+	for at := time.Duration(0); at <= 200*time.Millisecond; at += timeStep {
+		o := newOutage(t.Fatalf, uint64(at), 2)
+		successor := o.addMachine(0)
+		o.run(2 * time.Second)
+		leaving, leader := o.machineThat(isFollower), o.machineThat(isLeader)
+		end := o.now.Add(at)
+		for o.now.Before(end) && o.votes(leaving) {
+			_, _ = leader.core.Leave(leaving.member.ID)
+			o.handleOutput(leader.replica, false)
+			o.advance()
+		}
+		for range 2 {
+			o.machineThat(func(m *machine) bool { return m != leaving && m != successor && o.votes(m) }).running = false
+		}
+		before := o.maxApplied
+		o.run(5 * time.Second)
+		if o.maxApplied == before {
+			o.fail("nothing is committed after the loss of two others, %v after the leave", at)
+		}
+	}
+}
+
 // TestReplacementAmongEarlierBuilds guards against replacements that depend on what only this build sends: leaders of earlier builds do
 // not tell who is silent.
 func TestReplacementAmongEarlierBuilds(t *testing.T) {
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 )
 
@@ -18,13 +19,22 @@
 	lastResponseDelay = 100 * time.Millisecond
 	// closeTimeout bounds the shutdown after the last request.
 	closeTimeout = 300 * time.Millisecond
+	// leaveTimeout bounds the wait until another replica votes in place of this one.
+	leaveTimeout = 2 * time.Second
 )
 
 // stop ends the instance. If graceful, it first diverts callers to other instances and finishes requests in progress.
 func (r *Router) stop(graceful bool) {
+	var leave conc.WaitGroup
+	if r.group != nil && graceful {
+		leaveCtx, cancel := context.WithTimeout(r.ctx, leaveTimeout)
+		defer cancel()
+		leave.Go(func() { r.group.Leave(leaveCtx) })
+	}
 	if r.proxy != nil && graceful {
 		r.drain()
 	}
+	leave.Wait()
 	closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if r.proxy != nil && graceful {
