repl: voters tell a new leader which replicas are silent

Cause: what a leader tells of silent voters is kept in memory. A leader that starts again and is elected again has forgotten it, and counts anew.

Earlier builds ignore the field and do not send it.

--- a/internal/repl/elect.go
+++ b/internal/repl/elect.go
@@ -97,7 +97,7 @@
 		c.hardState.Vote = m.From
 		c.resetElectionDeadline(c.now)
 	}
-	c.send(Msg{Kind: VoteResponse, To: m.From, Reject: !grant})
+	c.send(Msg{Kind: VoteResponse, To: m.From, Reject: !grant, Silent: c.knownSilence(m.From)})
 }
 
 func (c *Core) handleVoteResponse(m Msg) {
@@ -105,6 +105,7 @@
 		return
 	}
 	c.votes[m.From] = true
+	c.mergeSilence(m.Silent)
 	c.advanceElection()
 }
 
--- a/internal/repl/members.go
+++ b/internal/repl/members.go
@@ -194,8 +194,36 @@
 	}
 }
 
-// inheritSilence makes a new leader count the silence of voters before its election: since the time that the earlier leader reported,
-// the last contact to that leader, or else the first request for votes since then. Voters that granted their vote are not silent.
+// knownSilence returns, for a candidate, the silence of the voters that the leader reported and of that leader.
+func (c *Core) knownSilence(candidate string) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for id, since := range c.silentSince {
+		out[id] = c.now.Sub(since)
+	}
+	if c.lastLeader != "" && c.lastLeader != c.id {
+		out[c.lastLeader] = c.now.Sub(c.lastLeaderContact)
+	}
+	delete(out, candidate)
+	return out
+}
+
+// mergeSilence takes over what a voter tells with its vote. This replica may have started again since it heard from a leader.
+func (c *Core) mergeSilence(silent map[string]time.Duration) {
+	for id, silence := range silent {
+		since := c.now.Add(-silence)
+		if known, ok := c.silentSince[id]; ok && known.Before(since) {
+			continue
+		}
+		if c.silentSince == nil {
+			c.silentSince = map[string]time.Time{}
+		}
+		c.silentSince[id] = since
+	}
+}
+
+// inheritSilence makes a new leader count the silence of voters before its election: since the time that the earlier leader or another
+// voter reported, the last contact to that leader, or else the first request for votes since then. Voters that granted their vote are not
+// silent.
 func (c *Core) inheritSilence() {
 	for id, p := range c.progress {
 		since, reported := c.silentSince[id]
--- a/internal/repl/types.go
+++ b/internal/repl/types.go
@@ -135,7 +135,8 @@
 		Reject   bool      `json:"x,omitempty"`
 		Entries  []Entry   `json:"e,omitempty"`
 		Snapshot *Snapshot `json:"s,omitempty"`
-		// Silent holds, in an AppendRequest, the time since the last response of each voter that does not respond, by member ID.
+		// Silent holds, in an AppendRequest and a VoteResponse, the time since the last response of each voter that does not respond to
+		// the leader, by member ID.
 		// Builds that do not know it leave it out and ignore it.
 		Silent map[string]time.Duration `json:"a,omitempty"`
 	}
