--- a/internal/repl/core.go
+++ b/internal/repl/core.go
@@ -74,7 +74,7 @@
 	}
 
 	// Status is a snapshot of a replica's state for operators; FirstIndex is the first log index that is not compacted, and ConfIndex
-	// the index of the entry that holds Conf. Unresponsive lists the members that a leader has not heard from.
+	// the index of the entry that holds Conf.
 	Status struct {
 		ID          string `json:"id"`
 		Role        string `json:"role"`
@@ -85,7 +85,7 @@
 		FirstIndex  uint64 `json:"first"`
 		Conf        Conf   `json:"conf"`
 		ConfIndex   uint64 `json:"change"`
-
+		// Unresponsive lists the members that a leader has not heard from within MaxElectionTimeout.
 		Unresponsive []Silence `json:"silent,omitempty"`
 	}
 
--- a/internal/repl/members.go
+++ b/internal/repl/members.go
@@ -182,8 +182,7 @@
 	return out
 }
 
-// recordSilentVoters records the silent voters that the leader reports. They are counted on if this replica becomes the leader, or
-// each election would delay their replacement anew.
+// recordSilentVoters records the silent voters that the leader reports, so that an election does not delay their replacement anew.
 func (c *Core) recordSilentVoters(silent map[string]time.Duration) {
 	c.silentSince = nil
 	for id, silence := range silent {
