repl: test each combination of losses by itself

TestCombinedLosses: two together with the leader, two disks, a machine and a disk, a restart of all before the successor votes and at the moment of the loss; 20 seeds each on the virtual clock.

--- a/internal/repl/replace_test.go
+++ b/internal/repl/replace_test.go
@@ -537,6 +537,47 @@
 	}
 }
 
+// TestCombinedLosses guards against single ways to lose replicas after which a successor has no vote in time.
+func TestCombinedLosses(t *testing.T) {
+	losses := []struct {
+		name string
+		lose func(o *outage)
+	}{
+		{"two lost together, the leader among them", func(o *outage) {
+			o.replaceLost(o.machineThat(isLeader), time.Second)
+			o.replaceLost(o.machineThat(isFollower), timeStep)
+		}},
+		{"two lost disks, the leader's among them", func(o *outage) {
+			o.loseDiskOf(o.machineThat(isLeader), time.Second)
+			o.loseDiskOf(o.machineThat(isFollower), time.Second)
+		}},
+		{"a lost machine and a lost disk", func(o *outage) {
+			o.replaceLost(o.machineThat(isFollower), time.Second)
+			o.loseDiskOf(o.machineThat(isLeader), time.Second)
+		}},
+		{"a restart of all before the successor votes", func(o *outage) {
+			o.replaceLost(o.machineThat(isFollower), time.Second)
+			o.run(1200 * time.Millisecond)
+			o.restartAll()
+		}},
+		{"a restart of all at the moment of the loss", func(o *outage) {
+			o.replaceLost(o.machineThat(isLeader), 2*time.Second)
+			o.restartAll()
+		}},
+	}
+	for _, l := range losses {
+		t.Run(l.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				o := newOutage(t.Fatalf, seed, 2)
+				for range 3 {
+					l.lose(o)
+					o.settle()
+				}
+			}
+		})
+	}
+}
+
 // TestSplitVote guards against elections that three voters of five repeat, as two of them ask for votes at once: then no candidate gets all
 // three votes.
 func TestSplitVote(t *testing.T) {
