--- a/internal/repl/replace_test.go
+++ b/internal/repl/replace_test.go
@@ -21,6 +21,8 @@
 	// leaveInterval and leaveLimit are the time between two requests to leave and the time for which a stopping machine repeats them.
 	leaveInterval = 100 * time.Millisecond
 	leaveLimit    = 2 * time.Second
+	// slowDelay is longer than the silence after which voters are reported.
+	slowDelay = 2 * minObservation
 	// timeStep is the step of the virtual clock.
 	timeStep = 5 * time.Millisecond
 )
@@ -42,6 +44,8 @@
 		numConfs int
 		// earlierBuild takes from messages what builds before 4db0bae do not send.
 		earlierBuild bool
+		// slow is a machine to and from which messages take slowDelay longer; nil if there is none.
+		slow *machine
 	}
 
 	// machine is a replica with its process and its place among the losses.
@@ -178,7 +182,11 @@
 		if o.earlierBuild {
 			msg.Silent = nil
 		}
-		o.queue = append(o.queue, delayed{at: o.now.Add(5*time.Millisecond + time.Duration(o.rng.IntN(10))*time.Millisecond), msg: msg})
+		at := o.now.Add(5*time.Millisecond + time.Duration(o.rng.IntN(10))*time.Millisecond)
+		if o.slow != nil && (msg.From == o.slow.member.ID || msg.To == o.slow.member.ID) {
+			at = at.Add(slowDelay)
+		}
+		o.queue = append(o.queue, delayed{at: at, msg: msg})
 	}
 	o.inFlight = nil
 }
@@ -621,6 +629,22 @@
 	}
 }
 
+// TestSlowVoterKeepsItsPlace guards against the replacement of a voter that answers late all the time, by a learner that waits for a
+// place.
+func TestSlowVoterKeepsItsPlace(t *testing.T) {
+	for seed := range uint64(20) {
+		o := newOutage(t.Fatalf, seed, 2)
+		spare := o.addMachine(0)
+		o.run(2 * time.Second)
+		before := o.numConfs
+		o.slow = o.machineThat(func(m *machine) bool { return m != spare && isFollower(m) })
+		o.run(20 * time.Second)
+		if o.votes(spare) || o.numConfs != before {
+			o.fail("members changed, %d times before and %d after", before, o.numConfs)
+		}
+	}
+}
+
 // TestReplacedVoterReturns guards against a replaced replica that stays outside, or has an effect on the others, when it is back after a
 // freeze or a cut: it becomes a learner and takes the next place.
 func TestReplacedVoterReturns(t *testing.T) {
